--- /dev/null
+++ b/cli/src/main/java/org/snipeslip/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.snipeslip.cli;
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/call/LoadReport.java
@@ -0,0 +1,23 @@
+package org.snipeslip.core.call;
+
+/**
+ * Load that a backend server reported about itself.
+ *
+ * @param inFlight calls it is working on or holds in its queue, or -1 if unknown
+ * @param slots calls it can work on at once, or -1 if unknown
+ * @param draining whether it asks for no new work
+ * @param cold whether it says that it is cold
+ */
+public record LoadReport(int inFlight, int slots, boolean draining, boolean cold) {
+    /** No report came with the response. */
+    public static final LoadReport UNKNOWN = new LoadReport(-1, -1, false, false);
+
+    /**
+     * Tells whether the report carries figures.
+     *
+     * @return true if the in-flight count is known
+     */
+    public boolean isKnown() {
+        return inFlight >= 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -0,0 +1,59 @@
+package org.snipeslip.core.call;
+
+/** Why an instance refused a call itself; the status is the HTTP status code. */
+public enum RefusalReason {
+    /** No route matches host, path and method. */
+    NO_ROUTE(404),
+    /** The caller named an organisation that does not exist. */
+    UNKNOWN_ORGANISATION(403),
+    /** The call must be served in other regions. */
+    OUTSIDE_HOME_REGIONS(421),
+    /** No backend server may take the call now. */
+    NO_BACKEND_SERVER(503),
+    /** The queue is full or the wait would exceed the deadline. */
+    OVERLOADED(503),
+    /** The organisation used up its share while others wait. */
+    ORGANISATION_OVER_SHARE(429),
+    /** The deadline passed. */
+    DEADLINE_EXCEEDED(504),
+    /** The connection to the backend server failed. */
+    BACKEND_SERVER_FAILED(502),
+    /** The backend server refused and no other try is allowed. */
+    BACKEND_SERVER_REFUSED(503),
+    /** A call with the same idempotency key is still running. */
+    IN_PROGRESS(409),
+    /** An earlier call with the same idempotency key may have run. */
+    EARLIER_OUTCOME_UNKNOWN(409),
+    /** The idempotency key was used for another request. */
+    KEY_REUSED(422),
+    /** The record of idempotency keys cannot be reached. */
+    ONCE_UNAVAILABLE(503),
+    /** The instance has no configuration yet. */
+    NOT_READY(503),
+    /** The instance is stopping. */
+    STOPPING(503);
+
+    private final int status;
+
+    RefusalReason(int status) {
+        this.status = status;
+    }
+
+    /**
+     * Returns the HTTP status code.
+     *
+     * @return the status
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Returns the value used in answers and logs.
+     *
+     * @return the name in lower case with hyphens
+     */
+    public String text() {
+        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/call/package-info.java
@@ -0,0 +1,2 @@
+/** The life of a call: admission, selection, tries, answer. */
+package org.snipeslip.core.call;
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/config/ConfigSet.java
@@ -0,0 +1,51 @@
+package org.snipeslip.core.config;
+
+import java.util.Map;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.Generation;
+import org.snipeslip.core.id.OrganisationId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.id.RouteId;
+import org.snipeslip.core.id.ServiceId;
+
+/**
+ * One immutable, checked set of configuration objects.
+ *
+ * @param generation its number
+ * @param homeRegions by name
+ * @param failureDomains by name
+ * @param organisations by name
+ * @param services by name
+ * @param routes by name
+ */
+public record ConfigSet(
+        Generation generation,
+        Map<RegionId, HomeRegion> homeRegions,
+        Map<FailureDomainId, FailureDomain> failureDomains,
+        Map<OrganisationId, Organisation> organisations,
+        Map<ServiceId, Service> services,
+        Map<RouteId, Route> routes) {
+    /** The set in force before any was adopted; it matches no call. */
+    public static final ConfigSet EMPTY =
+            new ConfigSet(Generation.NONE, Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+
+    /** Copies the maps. */
+    public ConfigSet {
+        homeRegions = Map.copyOf(homeRegions);
+        failureDomains = Map.copyOf(failureDomains);
+        organisations = Map.copyOf(organisations);
+        services = Map.copyOf(services);
+        routes = Map.copyOf(routes);
+    }
+
+    /**
+     * Returns the same objects under another generation.
+     *
+     * @param newGeneration the generation
+     * @return the renumbered set
+     */
+    public ConfigSet withGeneration(Generation newGeneration) {
+        return new ConfigSet(
+                newGeneration, homeRegions, failureDomains, organisations, services, routes);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/config/FailureDomain.java
@@ -0,0 +1,13 @@
+package org.snipeslip.core.config;
+
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.RegionId;
+
+/**
+ * A set of machines that fail or are taken out of service together.
+ *
+ * @param id the name
+ * @param region the region it stands in
+ * @param inService false while operators have taken it out; it then gets no new work
+ */
+public record FailureDomain(FailureDomainId id, RegionId region, boolean inService) {}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** Typed failures that callers and operators see. */
+package org.snipeslip.core.error;
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.snipeslip.core.id;
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/instance/package-info.java
@@ -0,0 +1,2 @@
+/** The instance-level state machine: events in, actions out. */
+package org.snipeslip.core.instance;
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/peer/PeerAddress.java
@@ -0,0 +1,14 @@
+package org.snipeslip.core.peer;
+
+/**
+ * Where an instance listens for its peers.
+ *
+ * @param host IP address
+ * @param port TCP port
+ */
+public record PeerAddress(String host, int port) {
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between instances as values. */
+package org.snipeslip.core.peer;
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/spread/package-info.java
@@ -0,0 +1,2 @@
+/** Adoption and spread of the configuration. */
+package org.snipeslip.core.spread;
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/store/package-info.java
@@ -0,0 +1,2 @@
+/** Object API requests and answers as values. */
+package org.snipeslip.core.store;
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/config/package-info.java
@@ -0,0 +1,2 @@
+/** Stored form of configuration objects. */
+package org.snipeslip.server.config;
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers and backend servers. */
+package org.snipeslip.server.http;
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** The process around the state machine. */
+package org.snipeslip.server.runtime;
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a process. */
+package org.snipeslip.server.settings;
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/store/package-info.java
@@ -0,0 +1,2 @@
+/** The object API over HTTP. */
+package org.snipeslip.server.store;
