Connect the at-most-once engine to the call path of the state machine

Cause: keyed calls had no place to wait for a claim, and timers and object API calls of two engines could not be told apart. Change: claims, their decisions and ends travel between the engines through the outbox with no lock held; timers and object API calls name their engine. Until claims are recorded, a keyed non-idempotent call is refused as not run.

--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -14,6 +14,7 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.once.ClaimDecision;
 import org.snipeslip.core.routing.HomeRegions;
 import org.snipeslip.core.routing.RouteTable;
 
@@ -50,8 +51,10 @@
      * Puts a configuration in force.
      *
      * @param config the configuration
+     * @param nowNanos the time
+     * @param outbox takes the actions
      */
-    public synchronized void configure(ConfigSet config) {
+    public synchronized void configure(ConfigSet config, long nowNanos, Outbox outbox) {
         for (ServiceId service : config.services().keySet()) {
             shards.computeIfAbsent(service, id -> new ServiceShard(id, settings, random.split()));
         }
@@ -59,6 +62,24 @@
         view = new View(config, new RouteTable(config));
     }
 
+    /**
+     * Takes the decision on a claim of a keyed call.
+     *
+     * @param decision the decision
+     * @param nowNanos the time
+     * @param outbox takes the actions
+     */
+    public void claimDecided(ClaimDecision decision, long nowNanos, Outbox outbox) {
+        ServiceShard shard = shardByCall.get(decision.request());
+        if (shard == null) {
+            return;
+        }
+        shard.claimDecided(decision, nowNanos, outbox);
+        if (!shard.holds(decision.request())) {
+            shardByCall.remove(decision.request());
+        }
+    }
+
     /**
      * Counts the open calls.
      *
--- a/core/src/main/java/org/snipeslip/core/call/CallState.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallState.java
@@ -22,6 +22,7 @@
     TryId current;
     BackendServerId currentServer;
     boolean headRelayed;
+    boolean claimGranted;
 
     CallState(
             RequestId request,
@@ -36,6 +37,10 @@
         this.deadlineNanos = deadlineNanos;
     }
 
+    boolean needsClaim() {
+        return !isIdempotent() && head.idempotencyKey() != null;
+    }
+
     boolean isIdempotent() {
         return route.isIdempotent(head.method());
     }
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -15,6 +15,8 @@
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.once.ClaimDecision;
+import org.snipeslip.core.once.ClaimRequest;
 
 /**
  * The calls and backend servers of one service. Every method takes the shard's own lock, which is
@@ -55,7 +57,37 @@
 
     synchronized void arrive(CallState call, long nowNanos, Outbox outbox) {
         calls.put(call.request, call);
-        sendTry(call, RefusalReason.NO_BACKEND_SERVER, nowNanos, outbox);
+        if (call.needsClaim()) {
+            outbox.claim(
+                    new ClaimRequest(
+                            call.request,
+                            call.head.organisation(),
+                            call.route.id(),
+                            call.head.idempotencyKey(),
+                            call.head.fingerprint(),
+                            call.homeRegions,
+                            call.deadlineNanos));
+        } else {
+            sendTry(call, RefusalReason.NO_BACKEND_SERVER, nowNanos, outbox);
+        }
+    }
+
+    synchronized void claimDecided(ClaimDecision decision, long nowNanos, Outbox outbox) {
+        CallState call = calls.get(decision.request());
+        if (call == null) {
+            return;
+        }
+        switch (decision) {
+            case ClaimDecision.Granted granted -> {
+                call.claimGranted = true;
+                sendTry(call, RefusalReason.NO_BACKEND_SERVER, nowNanos, outbox);
+            }
+            case ClaimDecision.Replay replay -> {
+                calls.remove(call.request);
+                outbox.add(new Action.ReplayAnswer(call.request, replay.answer()));
+            }
+            case ClaimDecision.Refused refused -> refuse(call, refused.refusal(), outbox);
+        }
     }
 
     synchronized void answered(TryId tryId, LoadReport load, long nowNanos, Outbox outbox) {
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -10,6 +10,7 @@
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.peer.PeerMessage;
+import org.snipeslip.core.store.StoreCallId;
 import org.snipeslip.core.store.StoreRequest;
 
 /** Something that the shell must carry out. */
@@ -75,10 +76,10 @@
     /**
      * Calls the object API; the answer comes as {@link Event.StoreAnswered}.
      *
-     * @param call number that the answer carries
+     * @param call names the call; the answer carries it
      * @param request the call
      */
-    record CallStore(long call, StoreRequest request) implements Action {}
+    record CallStore(StoreCallId call, StoreRequest request) implements Action {}
 
     /**
      * Sets a timer.
--- a/core/src/main/java/org/snipeslip/core/instance/Event.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Event.java
@@ -10,6 +10,7 @@
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.peer.PeerMessage;
 import org.snipeslip.core.store.StoreAnswer;
+import org.snipeslip.core.store.StoreCallId;
 
 /** Something that happened outside the state machine. */
 public sealed interface Event {
@@ -68,10 +69,10 @@
     /**
      * The end of an object API call.
      *
-     * @param call the number given in {@link Action.CallStore}
+     * @param call the call named in {@link Action.CallStore}
      * @param answer the answer
      */
-    record StoreAnswered(long call, StoreAnswer answer) implements Event {}
+    record StoreAnswered(StoreCallId call, StoreAnswer answer) implements Event {}
 
     /**
      * A timer is due.
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -4,15 +4,23 @@
 import org.snipeslip.core.call.CallEngine;
 import org.snipeslip.core.config.ConfigCodec;
 import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.membership.MemberView;
+import org.snipeslip.core.once.ClaimDecision;
+import org.snipeslip.core.once.ClaimEnd;
+import org.snipeslip.core.once.ClaimRequest;
+import org.snipeslip.core.once.OnceEngine;
+import org.snipeslip.core.peer.ClaimMessage;
 import org.snipeslip.core.spread.ControlEngine;
 
 /**
  * The state machine of one instance: takes events with their time and returns typed actions. It
  * does no I/O. Several threads may call it; driven by one thread it is deterministic for a seed.
+ * Each engine locks its own tables; values pass between engines here, with no lock held.
  */
 public final class Instance {
     private final CallEngine calls;
     private final ControlEngine control;
+    private final OnceEngine once;
     private volatile ConfigSet inForce = ConfigSet.EMPTY;
 
     /**
@@ -25,6 +33,7 @@
     public Instance(InstanceSettings settings, ConfigCodec codec, long seed) {
         this.calls = new CallEngine(settings.call(), settings.region(), seed);
         this.control = new ControlEngine(settings.control(), codec, seed + 1);
+        this.once = new OnceEngine();
     }
 
     /**
@@ -36,24 +45,10 @@
      */
     public List<Action> handle(Event event, long nowNanos) {
         Outbox outbox = new Outbox();
-        switch (event) {
-            case Event.CallArrived e -> calls.handle(e, nowNanos, outbox);
-            case Event.TryAnswered e -> calls.handle(e, nowNanos, outbox);
-            case Event.TryCompleted e -> calls.handle(e, nowNanos, outbox);
-            case Event.TryFailed e -> calls.handle(e, nowNanos, outbox);
-            case Event.CallerGone e -> calls.handle(e, nowNanos, outbox);
-            case Event.ProbeAnswered e -> calls.handle(e, nowNanos, outbox);
-            case Event.ProbeFailed e -> calls.handle(e, nowNanos, outbox);
-            case Event.Started e -> control.handle(e, nowNanos, outbox);
-            case Event.StoreAnswered e -> control.handle(e, nowNanos, outbox);
-            case Event.PeerReceived e -> control.handle(e, nowNanos, outbox);
-            case Event.TimerFired e -> control.handle(e, nowNanos, outbox);
-            case Event.StopRequested e -> outbox.add(new Action.FinishStop(calls.openCalls()));
-        }
-        for (Action action : outbox.actions()) {
-            if (action instanceof Action.ConfigAdopted adopted) {
-                adopt(adopted.config());
-            }
+        dispatch(event, nowNanos, outbox);
+        Object internal;
+        while ((internal = outbox.pollInternal()) != null) {
+            passOn(internal, nowNanos, outbox);
         }
         return outbox.actions();
     }
@@ -76,9 +71,55 @@
         return inForce.generation().number() > 0;
     }
 
-    private synchronized void adopt(ConfigSet config) {
+    private void dispatch(Event event, long nowNanos, Outbox outbox) {
+        switch (event) {
+            case Event.CallArrived e -> calls.handle(e, nowNanos, outbox);
+            case Event.TryAnswered e -> calls.handle(e, nowNanos, outbox);
+            case Event.TryCompleted e -> calls.handle(e, nowNanos, outbox);
+            case Event.TryFailed e -> calls.handle(e, nowNanos, outbox);
+            case Event.CallerGone e -> calls.handle(e, nowNanos, outbox);
+            case Event.ProbeAnswered e -> calls.handle(e, nowNanos, outbox);
+            case Event.ProbeFailed e -> calls.handle(e, nowNanos, outbox);
+            case Event.Started e -> {
+                control.handle(e, nowNanos, outbox);
+                once.handle(e, nowNanos, outbox);
+                calls.handle(e, nowNanos, outbox);
+            }
+            case Event.StoreAnswered e -> toOwner(e.call().owner(), e, nowNanos, outbox);
+            case Event.TimerFired e -> toOwner(e.timer().owner(), e, nowNanos, outbox);
+            case Event.PeerReceived e when e.message() instanceof ClaimMessage ->
+                    once.handle(e, nowNanos, outbox);
+            case Event.PeerReceived e -> control.handle(e, nowNanos, outbox);
+            case Event.StopRequested e -> outbox.add(new Action.FinishStop(calls.openCalls()));
+        }
+    }
+
+    private void toOwner(EngineName owner, Event event, long nowNanos, Outbox outbox) {
+        switch (owner) {
+            case CALL -> calls.handle(event, nowNanos, outbox);
+            case CONTROL -> control.handle(event, nowNanos, outbox);
+            case ONCE -> once.handle(event, nowNanos, outbox);
+            case INSTANCE -> {
+                // The instance itself has no timers yet.
+            }
+        }
+    }
+
+    private void passOn(Object value, long nowNanos, Outbox outbox) {
+        switch (value) {
+            case ClaimRequest claim -> once.claim(claim, nowNanos, outbox);
+            case ClaimEnd end -> once.end(end, nowNanos, outbox);
+            case ClaimDecision decision -> calls.claimDecided(decision, nowNanos, outbox);
+            case MemberView view -> once.membersChanged(view, nowNanos, outbox);
+            case Action.ConfigAdopted adopted -> adopt(adopted.config(), nowNanos, outbox);
+            default -> throw new IllegalStateException(value.getClass().getName());
+        }
+    }
+
+    private synchronized void adopt(ConfigSet config, long nowNanos, Outbox outbox) {
         if (config.generation().isNewerThan(inForce.generation())) {
-            calls.configure(config);
+            calls.configure(config, nowNanos, outbox);
+            once.configure(config, nowNanos, outbox);
             inForce = config;
         }
     }
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/once/ClaimEnd.java
@@ -0,0 +1,14 @@
+package org.snipeslip.core.once;
+
+import org.snipeslip.core.id.RequestId;
+import org.snipeslip.core.instance.RecordableAnswer;
+import org.snipeslip.core.peer.ClaimMessage;
+
+/**
+ * How a granted call ended.
+ *
+ * @param request the call
+ * @param end how it ended
+ * @param answer the answer, or {@link RecordableAnswer#NONE}
+ */
+public record ClaimEnd(RequestId request, ClaimMessage.End end, RecordableAnswer answer) {}
--- a/core/src/main/java/org/snipeslip/core/spread/ConfigFollower.java
+++ b/core/src/main/java/org/snipeslip/core/spread/ConfigFollower.java
@@ -15,10 +15,12 @@
 import org.snipeslip.core.error.ConfigFault;
 import org.snipeslip.core.id.Generation;
 import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.EngineName;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Outbox;
 import org.snipeslip.core.instance.TimerId;
 import org.snipeslip.core.store.StoreAnswer;
+import org.snipeslip.core.store.StoreCallId;
 import org.snipeslip.core.store.StoreRequest;
 import org.snipeslip.core.store.StoredObject;
 
@@ -27,7 +29,7 @@
  * generation once it is whole and newer than the one in force.
  */
 public final class ConfigFollower {
-    private static final TimerId RETRY = new TimerId(TimerId.Owner.CONTROL, "config-retry");
+    private static final TimerId RETRY = new TimerId(EngineName.CONTROL, "config-retry");
 
     private final ControlSettings settings;
     private final ConfigCodec codec;
@@ -81,10 +83,10 @@
      * @param outbox takes the actions
      */
     public void answered(Event.StoreAnswered event, Outbox outbox) {
-        String digest = readsInFlight.remove(event.call());
+        String digest = readsInFlight.remove(event.call().number());
         if (digest != null) {
             partRead(digest, event.answer(), outbox);
-        } else if (event.call() == watchCall) {
+        } else if (event.call().number() == watchCall) {
             headRead(event.answer(), outbox);
         }
     }
@@ -105,7 +107,7 @@
         watchCall = nextCall++;
         outbox.add(
                 new Action.CallStore(
-                        watchCall,
+                        new StoreCallId(EngineName.CONTROL, watchCall),
                         new StoreRequest.Watch(
                                 ConfigHead.KEY, headVersion, settings.watchMillis())));
     }
@@ -157,7 +159,8 @@
             readsInFlight.put(call, digest);
             outbox.add(
                     new Action.CallStore(
-                            call, new StoreRequest.Read(ConfigHead.PART_PREFIX + digest)));
+                            new StoreCallId(EngineName.CONTROL, call),
+                            new StoreRequest.Read(ConfigHead.PART_PREFIX + digest)));
         }
     }
 
