Give the stand-ins faults and alternate the two halves of the demo

Cause: the stand-ins could not fail, and the demo compared a cold JVM with a warm one. Change: object API stand-in is down, slow or loses answers on command and counts its calls; backend server stand-in slows down, fails fast, drains, goes cold and cuts connections, and counts starts per idempotency key; open-loop load has Poisson arrivals; the demo warms up and alternates slices through snipeslip and directly.

--- a/cli/src/main/java/org/snipeslip/cli/Main.java
+++ b/cli/src/main/java/org/snipeslip/cli/Main.java
@@ -10,7 +10,7 @@
 import joptsimple.OptionSpec;
 import org.snipeslip.server.runtime.EntryProcess;
 import org.snipeslip.server.settings.SettingsReader;
-import org.snipeslip.standin.BackendServerStandIn;
+import org.snipeslip.standin.BackendServerProcess;
 import org.snipeslip.standin.Demo;
 import org.snipeslip.standin.ObjectApiStandIn;
 
@@ -96,13 +96,8 @@
         switch (name) {
             case "object-api" -> new ObjectApiStandIn(HOST, portNumber);
             case "backend-server" ->
-                    new BackendServerStandIn(
-                            HOST,
-                            portNumber,
-                            options.valueOf(slots),
-                            options.valueOf(micros),
-                            64,
-                            portNumber);
+                    BackendServerProcess.start(
+                            HOST, portNumber, options.valueOf(slots), options.valueOf(micros));
             default -> {
                 System.err.println("snipeslip: stand-in must be object-api or backend-server");
                 return EXIT_USAGE;
--- a/server/src/main/java/org/snipeslip/server/http/HttpMessageClient.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpMessageClient.java
@@ -29,10 +29,11 @@
  * on one I/O thread, so its tables need no lock.
  */
 public final class HttpMessageClient {
-    private static final int MAX_IDLE_PER_ORIGIN = 8;
+    private static final int DEFAULT_MAX_IDLE_PER_ORIGIN = 8;
 
     private final XnioIoThread ioThread;
     private final ByteBufferPool buffers;
+    private final int maxIdlePerOrigin;
     private final Map<URI, Deque<ClientConnection>> idle = new HashMap<>();
 
     /**
@@ -42,8 +43,20 @@
      * @param buffers buffers of connections
      */
     public HttpMessageClient(XnioIoThread ioThread, ByteBufferPool buffers) {
+        this(ioThread, buffers, DEFAULT_MAX_IDLE_PER_ORIGIN);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param ioThread runs all work
+     * @param buffers buffers of connections
+     * @param maxIdlePerOrigin idle connections kept for each origin
+     */
+    public HttpMessageClient(XnioIoThread ioThread, ByteBufferPool buffers, int maxIdlePerOrigin) {
         this.ioThread = ioThread;
         this.buffers = buffers;
+        this.maxIdlePerOrigin = maxIdlePerOrigin;
     }
 
     /**
@@ -194,7 +207,7 @@
     private void giveBack(URI origin, ClientConnection connection) {
         Deque<ClientConnection> connections =
                 idle.computeIfAbsent(origin, key -> new ArrayDeque<>());
-        if (connection.isOpen() && connections.size() < MAX_IDLE_PER_ORIGIN) {
+        if (connection.isOpen() && connections.size() < maxIdlePerOrigin) {
             connections.push(connection);
         } else {
             IoUtils.safeClose(connection);
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -78,6 +78,15 @@
         runtime.handle(new Event.Started());
     }
 
+    /**
+     * Tells whether the instance takes calls.
+     *
+     * @return true once a configuration is in force and no stop was requested
+     */
+    public boolean isReady() {
+        return instance.isReady();
+    }
+
     private Undertow.Builder server(InetSocketAddress address) {
         return Undertow.builder()
                 .setWorker(worker)
--- /dev/null
+++ b/standin/src/main/java/org/snipeslip/standin/BackendServerProcess.java
@@ -0,0 +1,33 @@
+package org.snipeslip.standin;
+
+import java.io.IOException;
+import java.util.concurrent.Executors;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+
+/** Starts a backend server stand-in as the only one of its process. */
+public final class BackendServerProcess {
+    private static final int QUEUE_LIMIT = 64;
+
+    private BackendServerProcess() {}
+
+    /**
+     * Starts the stand-in.
+     *
+     * @param host IP address to listen on
+     * @param port TCP port
+     * @param slots calls it works on at once
+     * @param meanServiceMicros mean service time in microseconds
+     * @return the running stand-in
+     * @throws IOException if the I/O worker cannot be created
+     */
+    public static BackendServerStandIn start(
+            String host, int port, int slots, long meanServiceMicros) throws IOException {
+        return new BackendServerStandIn(
+                new BackendServerSpec(host, port, slots, meanServiceMicros, QUEUE_LIMIT, port),
+                Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1)),
+                Executors.newSingleThreadScheduledExecutor(),
+                new WorkLedger());
+    }
+}
--- a/standin/src/main/java/org/snipeslip/standin/BackendServerStandIn.java
+++ b/standin/src/main/java/org/snipeslip/standin/BackendServerStandIn.java
@@ -1,100 +1,214 @@
 package org.snipeslip.standin;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
 import org.xnio.Options;
+import org.xnio.XnioWorker;
 
 /**
  * Backend server stand-in: works on as many calls at once as it has slots, holds the others in a
- * queue, and reports its load with each answer.
+ * queue, reports its load with each answer, and on command slows down, fails fast, drains or goes
+ * cold. A cold server takes {@value #COLD_FACTOR} times as long for each call in progress, so it
+ * collapses under full load.
  */
 public final class BackendServerStandIn implements AutoCloseable, HttpHandler {
     private static final HttpString LOAD = new HttpString("Snipeslip-Load");
     private static final HttpString NOT_RUN = new HttpString("Snipeslip-Not-Run");
+    private static final HttpString KEY = new HttpString("Idempotency-Key");
+    private static final int COLD_FACTOR = 4;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
-    private final int slots;
-    private final long meanServiceMicros;
-    private final int queueLimit;
+    private final BackendServerSpec spec;
+    private final ScheduledExecutorService timers;
+    private final WorkLedger ledger;
     private final SplittableRandom random;
     private final Deque<HttpServerExchange> queue = new ArrayDeque<>();
+    private final ObjectMapper mapper = new ObjectMapper();
     private final Undertow server;
+    private Behaviour behaviour = Behaviour.NORMAL;
     private int running;
+    private long served;
+    private int mostWhileCold;
+    private int reportedLoad;
+    private long reportedAtNanos;
 
     /**
      * Starts the stand-in.
      *
-     * @param host IP address to listen on
-     * @param port TCP port
-     * @param slots calls it works on at once
-     * @param meanServiceMicros mean service time in microseconds, exponentially distributed; 0 for
-     *     none
-     * @param queueLimit calls it holds before it refuses
-     * @param seed seed of service times
+     * @param spec fixed properties
+     * @param worker runs its I/O
+     * @param timers ends service times
+     * @param ledger counts keyed work
      */
     public BackendServerStandIn(
-            String host, int port, int slots, long meanServiceMicros, int queueLimit, long seed) {
-        this.slots = slots;
-        this.meanServiceMicros = meanServiceMicros;
-        this.queueLimit = queueLimit;
-        this.random = new SplittableRandom(seed);
+            BackendServerSpec spec,
+            XnioWorker worker,
+            ScheduledExecutorService timers,
+            WorkLedger ledger) {
+        this.spec = spec;
+        this.timers = timers;
+        this.ledger = ledger;
+        this.random = new SplittableRandom(spec.seed());
         server =
                 Undertow.builder()
-                        .addHttpListener(port, host)
-                        .setIoThreads(1)
-                        .setWorkerThreads(1)
+                        .setWorker(worker)
+                        .addHttpListener(spec.port(), spec.host())
                         .setSocketOption(Options.TCP_NODELAY, true)
                         .setHandler(this)
                         .build();
         server.start();
     }
 
+    /**
+     * Changes the behaviour.
+     *
+     * @param next the new behaviour
+     */
+    public synchronized void behave(Behaviour next) {
+        behaviour = next;
+    }
+
+    /**
+     * Returns the behaviour.
+     *
+     * @return the behaviour in force
+     */
+    public synchronized Behaviour behaviour() {
+        return behaviour;
+    }
+
+    /**
+     * Counts the calls answered with 200.
+     *
+     * @return number of calls
+     */
+    public synchronized long served() {
+        return served;
+    }
+
+    /**
+     * Returns the largest number of calls held at once while cold.
+     *
+     * @return calls in progress and in the queue
+     */
+    public synchronized int mostWhileCold() {
+        return mostWhileCold;
+    }
+
     @Override
-    public void handleRequest(HttpServerExchange exchange) {
-        if (exchange.getRequestPath().equals("/load")) {
+    public void handleRequest(HttpServerExchange exchange) throws IOException {
+        switch (exchange.getRequestPath()) {
+            case "/load" -> {
+                reportLoad(exchange);
+                exchange.endExchange();
+            }
+            case "/behaviour" ->
+                    exchange.getRequestReceiver()
+                            .receiveFullString((e, text) -> changeBehaviour(e, text));
+            case "/works" ->
+                    exchange.getResponseSender()
+                            .send(ledger.keys() + " " + ledger.repeatedKeys() + "\n");
+            default ->
+                    exchange.getRequestReceiver()
+                            .receiveFullBytes((e, body) -> accept(e), (e, cause) -> cut(e));
+        }
+    }
+
+    private void changeBehaviour(HttpServerExchange exchange, String text) {
+        try {
+            behave(mapper.readValue(text, Behaviour.class));
+        } catch (IOException e) {
+            exchange.setStatusCode(400);
+        }
+        exchange.endExchange();
+    }
+
+    private static void cut(HttpServerExchange exchange) {
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    private synchronized void accept(HttpServerExchange exchange) {
+        if (behaviour.connectionsRefused()) {
+            cut(exchange);
+        } else if (behaviour.failFast()) {
             reportLoad(exchange);
-            exchange.endExchange();
-        } else if (running < slots) {
+            exchange.setStatusCode(500).endExchange();
+        } else if (running < spec.slots()) {
             serve(exchange);
-        } else if (queue.size() < queueLimit) {
+        } else if (queue.size() < spec.queueLimit()) {
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
             queue.add(exchange);
         } else {
-            reportLoad(exchange);
-            exchange.getResponseHeaders().put(NOT_RUN, "1");
-            exchange.setStatusCode(503).endExchange();
+            refuse(exchange);
+        }
+        if (behaviour.coldCalls() > 0) {
+            mostWhileCold = Math.max(mostWhileCold, running + queue.size());
         }
     }
 
+    private void refuse(HttpServerExchange exchange) {
+        reportLoad(exchange);
+        exchange.getResponseHeaders().put(NOT_RUN, "1");
+        exchange.setStatusCode(503).endExchange();
+    }
+
     private void serve(HttpServerExchange exchange) {
         running++;
-        if (meanServiceMicros == 0) {
+        String key = exchange.getRequestHeaders().getFirst(KEY);
+        if (key != null) {
+            ledger.started(key);
+        }
+        if (spec.meanServiceMicros() == 0) {
             finish(exchange);
             return;
         }
-        long micros = (long) (-meanServiceMicros * Math.log(1 - random.nextDouble()));
+        double factor = behaviour.slowFactor();
+        if (behaviour.coldCalls() > 0) {
+            factor *= COLD_FACTOR * running;
+        }
+        double micros = -spec.meanServiceMicros() * Math.log(1 - random.nextDouble()) * factor;
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
-        exchange.getIoThread()
-                .executeAfter(() -> finish(exchange), Math.max(1, micros), TimeUnit.MICROSECONDS);
+        timers.schedule(
+                () -> exchange.getIoThread().execute(() -> finish(exchange)),
+                (long) micros,
+                TimeUnit.MICROSECONDS);
     }
 
-    private void finish(HttpServerExchange exchange) {
+    private synchronized void finish(HttpServerExchange exchange) {
         running--;
+        served++;
+        if (behaviour.coldCalls() > 0) {
+            behaviour = behaviour.withColdCalls(behaviour.coldCalls() - 1);
+        }
         reportLoad(exchange);
         exchange.getResponseSender().send("served " + exchange.getRequestURI() + "\n");
-        if (!queue.isEmpty() && running < slots) {
-            serve(queue.remove());
+        while (!queue.isEmpty() && running < spec.slots()) {
+            HttpServerExchange next = queue.remove();
+            if (next.getConnection().isOpen()) {
+                serve(next);
+            }
         }
     }
 
-    private void reportLoad(HttpServerExchange exchange) {
-        exchange.getResponseHeaders().put(LOAD, (running + queue.size()) + "/" + slots);
+    private synchronized void reportLoad(HttpServerExchange exchange) {
+        long nowNanos = System.nanoTime();
+        if (nowNanos - reportedAtNanos >= behaviour.loadLagMillis() * NANOS_PER_MILLI) {
+            reportedLoad = running + queue.size();
+            reportedAtNanos = nowNanos;
+        }
+        String flags = behaviour.draining() ? ";d" : "";
+        exchange.getResponseHeaders().put(LOAD, reportedLoad + "/" + spec.slots() + flags);
     }
 
     @Override
--- a/standin/src/main/java/org/snipeslip/standin/LoadGenerator.java
+++ b/standin/src/main/java/org/snipeslip/standin/LoadGenerator.java
@@ -3,32 +3,33 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.SplittableRandom;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.UnaryOperator;
-import org.HdrHistogram.Histogram;
 import org.snipeslip.server.http.HttpMessage;
 import org.snipeslip.server.http.HttpMessageClient;
-import org.snipeslip.server.http.HttpMessageListener;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /**
- * Open-loop load generator. Latency counts from the planned send time, so a late send does not hide
- * a wait (coordinated omission).
+ * Open-loop load generator with Poisson arrivals. Latency counts from the planned send time, so a
+ * late send does not hide a wait (coordinated omission).
  */
 public final class LoadGenerator implements AutoCloseable {
-    private static final long TIMEOUT_MILLIS = 10_000;
-    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final long TIMEOUT_MILLIS = 15_000;
+    private static final double NANOS_PER_SECOND = 1e9;
     private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_IDLE_PER_ORIGIN = 512;
+    private static final int IO_THREADS = 2;
 
     private final XnioWorker worker;
     private final DefaultByteBufferPool buffers;
+    private final List<HttpMessageClient> clients = new ArrayList<>();
 
     /**
      * Creates a generator.
@@ -40,80 +41,67 @@
                 Xnio.getInstance()
                         .createWorker(
                                 OptionMap.builder()
-                                        .set(Options.WORKER_IO_THREADS, 1)
+                                        .set(Options.WORKER_IO_THREADS, IO_THREADS)
                                         .set(Options.TCP_NODELAY, true)
                                         .getMap());
         buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 1_000, 4);
+        for (int i = 0; i < IO_THREADS; i++) {
+            clients.add(new HttpMessageClient(worker.getIoThread(i), buffers, MAX_IDLE_PER_ORIGIN));
+        }
     }
 
     /**
-     * Sends calls at a fixed rate and waits for their answers.
+     * Sends calls and waits for their answers. Runs of several plans at once need one thread each.
      *
-     * @param origins targets, taken in turn
-     * @param path path of the calls
-     * @param callsPerSecond rate
+     * @param plan what to send
      * @param seconds how long to send
+     * @param seed seed of the arrival times
      * @return latencies and results
      * @throws InterruptedException if the thread is interrupted
      */
-    public LoadReportSummary run(List<URI> origins, String path, int callsPerSecond, int seconds)
-            throws InterruptedException {
-        Run run = new Run();
-        HttpMessageClient client = new HttpMessageClient(worker.getIoThread(), buffers);
-        long calls = (long) callsPerSecond * seconds;
+    public LoadResult run(CallPlan plan, double seconds, long seed) throws InterruptedException {
+        LoadRecorder recorder = new LoadRecorder();
+        SplittableRandom random = new SplittableRandom(seed);
         long startNanos = System.nanoTime();
-        for (long i = 0; i < calls; i++) {
-            long plannedNanos = startNanos + i * NANOS_PER_SECOND / callsPerSecond;
-            while (System.nanoTime() < plannedNanos) {
-                LockSupport.parkNanos(plannedNanos - System.nanoTime());
+        double atNanos = 0;
+        for (int i = 0; atNanos < seconds * NANOS_PER_SECOND; i++) {
+            long plannedNanos = startNanos + (long) atNanos;
+            pause(plannedNanos);
+            for (int copy = 0; copy < plan.copies(); copy++) {
+                send(plan, i, copy, plannedNanos, recorder);
             }
-            URI origin = origins.get((int) (i % origins.size()));
-            run.open.incrementAndGet();
-            client.send(
-                    new HttpMessage(origin, "GET", path, Map.of(), ""),
-                    TIMEOUT_MILLIS,
-                    run.listener(plannedNanos));
-        }
-        while (run.open.get() > 0) {
-            Thread.sleep(1);
+            atNanos -= Math.log(1 - random.nextDouble()) * NANOS_PER_SECOND / plan.callsPerSecond();
         }
-        return run.summary();
-    }
-
-    @Override
-    public void close() {
-        worker.shutdownNow();
-        buffers.close();
+        return recorder.awaitResult();
     }
 
-    /** Results of one run. */
-    private static final class Run {
-        private final AtomicInteger open = new AtomicInteger();
-        private final Histogram latencyMicros = new Histogram(60_000_000L, 3);
-        private final Map<String, Long> results = new TreeMap<>();
-
-        HttpMessageListener listener(long plannedNanos) {
-            return new HttpMessageListener() {
-                @Override
-                public void answered(int status, UnaryOperator<String> header, String body) {
-                    record(plannedNanos, Integer.toString(status));
-                }
-
-                @Override
-                public void failed(boolean sent, IOException cause) {
-                    record(plannedNanos, sent ? "broken" : "not-connected");
-                }
-            };
+    private void send(
+            CallPlan plan, int index, int copy, long plannedNanos, LoadRecorder recorder) {
+        Map<String, String> headers = new HashMap<>(plan.headers());
+        String body = "";
+        if (!plan.keyPrefix().isEmpty()) {
+            headers.put("Idempotency-Key", plan.keyPrefix() + "-" + index);
+            body = "charge " + index;
         }
+        URI origin = plan.origins().get((index + copy) % plan.origins().size());
+        recorder.sent();
+        clients.get(index % clients.size())
+                .send(
+                        new HttpMessage(origin, plan.method(), plan.path(), headers, body),
+                        TIMEOUT_MILLIS,
+                        recorder.listener(plannedNanos));
+    }
 
-        private synchronized void record(long plannedNanos, String result) {
-            latencyMicros.recordValue((System.nanoTime() - plannedNanos) / 1_000);
-            results.merge(result, 1L, Long::sum);
-            open.decrementAndGet();
+    private static void pause(long untilNanos) {
+        long nowNanos;
+        while ((nowNanos = System.nanoTime()) < untilNanos) {
+            LockSupport.parkNanos(untilNanos - nowNanos);
         }
+    }
 
-        synchronized LoadReportSummary summary() {
-            return new LoadReportSummary(latencyMicros.copy(), new TreeMap<>(results));
-        }
+    @Override
+    public void close() {
+        worker.shutdown();
+        buffers.close();
     }
 }
--- /dev/null
+++ b/standin/src/main/java/org/snipeslip/standin/LoadResult.java
@@ -0,0 +1,43 @@
+package org.snipeslip.standin;
+
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Result of a load run.
+ *
+ * @param latencyMicros latencies of the calls answered with 200, in microseconds
+ * @param results number of calls by status code, refusal reason or failure
+ */
+public record LoadResult(Histogram latencyMicros, Map<String, Long> results) {
+    /** Result of a call answered as wanted. */
+    public static final String OK = "200";
+
+    /**
+     * Returns a latency percentile.
+     *
+     * @param percentile from 0 to 100
+     * @return the latency in milliseconds
+     */
+    public double millisAt(double percentile) {
+        return latencyMicros.getValueAtPercentile(percentile) / 1_000.0;
+    }
+
+    /**
+     * Counts all calls.
+     *
+     * @return the number of calls
+     */
+    public long calls() {
+        return results.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /**
+     * Counts the calls that did not get a 200.
+     *
+     * @return the number of calls
+     */
+    public long failures() {
+        return calls() - results.getOrDefault(OK, 0L);
+    }
+}
--- a/standin/src/main/java/org/snipeslip/standin/ObjectApiStandIn.java
+++ b/standin/src/main/java/org/snipeslip/standin/ObjectApiStandIn.java
@@ -1,5 +1,6 @@
 package org.snipeslip.standin;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import io.undertow.Undertow;
@@ -13,11 +14,16 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
 import org.xnio.Options;
 
-/** Object API stand-in: versions, conditional writes and long-poll watches over HTTP. */
+/**
+ * Object API stand-in: versions, conditional writes and long-poll watches over HTTP; on command it
+ * is down, slow, or loses the answers of writes that took effect.
+ */
 public final class ObjectApiStandIn implements AutoCloseable, HttpHandler {
     private static final String OBJECTS = "/objects/";
     private static final int MAX_VALUE_BYTES = 1 << 20;
@@ -25,8 +31,14 @@
     private final ObjectMapper mapper = new ObjectMapper();
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private final List<Waiter> waiters = new ArrayList<>();
+    private final SplittableRandom random = new SplittableRandom(1);
     private final Undertow server;
+    private StoreFaults faults = StoreFaults.NONE;
+    private String instances = "[]";
     private long lastVersion;
+    private long reads;
+    private long writes;
+    private long watches;
 
     /**
      * Starts the stand-in.
@@ -46,12 +58,85 @@
         server.start();
     }
 
+    /**
+     * Changes the faults.
+     *
+     * @param next the new faults
+     */
+    public synchronized void fail(StoreFaults next) {
+        faults = next;
+    }
+
+    /**
+     * Sets the list of instances.
+     *
+     * @param json the list as callers get it
+     */
+    public synchronized void listInstances(String json) {
+        instances = json;
+    }
+
+    /**
+     * Counts the calls so far.
+     *
+     * @return reads, writes and watches
+     */
+    public synchronized CallCounts counts() {
+        return new CallCounts(reads, writes, watches);
+    }
+
+    /**
+     * Number of calls by kind.
+     *
+     * @param reads reads and lists
+     * @param writes conditional writes and deletions
+     * @param watches watches that had to wait
+     */
+    public record CallCounts(long reads, long writes, long watches) {}
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
+        StoreFaults current = currentFaults();
+        String path = exchange.getRequestPath();
+        if (path.startsWith("/control/")) {
+            exchange.getRequestReceiver()
+                    .receiveFullString((e, text) -> control(e, text), StandardCharsets.UTF_8);
+        } else if (current.down()) {
+            IoUtils.safeClose(exchange.getConnection());
+        } else if (current.delayMillis() > 0) {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
+            exchange.getIoThread()
+                    .executeAfter(
+                            () -> carryOut(exchange), current.delayMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            carryOut(exchange);
+        }
+    }
+
+    private synchronized StoreFaults currentFaults() {
+        return faults;
+    }
+
+    private void control(HttpServerExchange exchange, String text) {
+        try {
+            switch (exchange.getRequestPath()) {
+                case "/control/faults" -> fail(mapper.readValue(text, StoreFaults.class));
+                case "/control/instances" -> listInstances(text);
+                case "/control/counts" ->
+                        exchange.getResponseSender().send(mapper.writeValueAsString(counts()));
+                default -> exchange.setStatusCode(404);
+            }
+        } catch (JsonProcessingException e) {
+            exchange.setStatusCode(400);
+        }
+        exchange.endExchange();
+    }
+
+    private void carryOut(HttpServerExchange exchange) {
         String path = exchange.getRequestPath();
         String method = exchange.getRequestMethod().toString();
         if (path.equals("/instances")) {
-            exchange.getResponseSender().send("[]");
+            sendInstances(exchange);
         } else if (path.equals("/objects")) {
             list(exchange);
         } else if (!path.startsWith(OBJECTS)) {
@@ -69,7 +154,13 @@
         }
     }
 
+    private synchronized void sendInstances(HttpServerExchange exchange) {
+        reads++;
+        exchange.getResponseSender().send(instances);
+    }
+
     private synchronized void list(HttpServerExchange exchange) {
+        reads++;
         String prefix = parameter(exchange, "prefix", "");
         ArrayNode array = mapper.createArrayNode();
         for (Map.Entry<String, Entry> entry : entries.tailMap(prefix, true).entrySet()) {
@@ -91,17 +182,20 @@
         Entry entry = entries.get(key);
         long version = entry == null ? 0 : entry.version;
         if (after != null && Long.parseLong(after) == version && waitMillis > 0) {
+            watches++;
             Waiter waiter = new Waiter(key, exchange);
             waiters.add(waiter);
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
             exchange.getIoThread()
                     .executeAfter(() -> expire(waiter), waitMillis, TimeUnit.MILLISECONDS);
         } else {
+            reads++;
             sendEntry(exchange, entry);
         }
     }
 
     private synchronized void write(HttpServerExchange exchange, String key, String value) {
+        writes++;
         if (value.length() > MAX_VALUE_BYTES) {
             exchange.setStatusCode(413).endExchange();
             return;
@@ -112,12 +206,17 @@
         }
         Entry entry = new Entry(value, ++lastVersion);
         entries.put(key, entry);
-        exchange.getResponseHeaders().put(Headers.ETAG, entry.tag());
-        exchange.setStatusCode(200).endExchange();
+        if (random.nextDouble() < faults.lostAnswers()) {
+            IoUtils.safeClose(exchange.getConnection());
+        } else {
+            exchange.getResponseHeaders().put(Headers.ETAG, entry.tag());
+            exchange.setStatusCode(200).endExchange();
+        }
         wake(key, entry);
     }
 
     private synchronized void delete(HttpServerExchange exchange, String key) {
+        writes++;
         if (!entries.containsKey(key)) {
             exchange.setStatusCode(404).endExchange();
         } else if (!conditionHolds(exchange, entries.get(key))) {
