Stop in phases: readiness off, balancer wait, finish, time limit

Cause: a stop request ended the process at once and cut its open calls. Change: StopSequence keeps serving until the platform's load balancer had time to notice, then finishes when no call is open and every partition is handed over; a second request or the time limit ends it. Conclusion: the decision is in place, the answers to calls still open at the limit are not.

--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -21,6 +21,7 @@
     private final CallEngine calls;
     private final ControlEngine control;
     private final OnceEngine once;
+    private final StopSequence stop;
     private volatile ConfigSet inForce = ConfigSet.EMPTY;
 
     /**
@@ -34,6 +35,7 @@
         this.calls = new CallEngine(settings.call(), settings.region(), seed);
         this.control = new ControlEngine(settings.control(), codec, seed + 1);
         this.once = new OnceEngine();
+        this.stop = new StopSequence(settings.stop());
     }
 
     /**
@@ -50,6 +52,9 @@
         while ((internal = outbox.pollInternal()) != null) {
             passOn(internal, nowNanos, outbox);
         }
+        if (stop.isStopping()) {
+            continueStop(outbox);
+        }
         return outbox.actions();
     }
 
@@ -68,7 +73,7 @@
      * @return true once a configuration is in force and no stop was requested
      */
     public boolean isReady() {
-        return inForce.generation().number() > 0;
+        return inForce.generation().number() > 0 && !stop.isStopping();
     }
 
     private void dispatch(Event event, long nowNanos, Outbox outbox) {
@@ -90,7 +95,11 @@
             case Event.PeerReceived e when e.message() instanceof ClaimMessage ->
                     once.handle(e, nowNanos, outbox);
             case Event.PeerReceived e -> control.handle(e, nowNanos, outbox);
-            case Event.StopRequested e -> outbox.add(new Action.FinishStop(calls.openCalls()));
+            case Event.StopRequested e -> {
+                stop.request(outbox);
+                control.handle(e, nowNanos, outbox);
+                once.startHandover(nowNanos, outbox);
+            }
         }
     }
 
@@ -100,8 +109,11 @@
             case CONTROL -> control.handle(event, nowNanos, outbox);
             case ONCE -> once.handle(event, nowNanos, outbox);
             case INSTANCE -> {
-                // The instance itself has no timers yet.
+                if (event instanceof Event.TimerFired fired) {
+                    stop.timerFired(fired.timer());
+                }
             }
+            default -> throw new IllegalStateException(owner.name());
         }
     }
 
@@ -116,6 +128,12 @@
         }
     }
 
+    private void continueStop(Outbox outbox) {
+        if (stop.finish(calls.openCalls() == 0 && once.isHandedOver())) {
+            outbox.add(new Action.FinishStop(calls.openCalls()));
+        }
+    }
+
     private synchronized void adopt(ConfigSet config, long nowNanos, Outbox outbox) {
         if (config.generation().isNewerThan(inForce.generation())) {
             calls.configure(config, nowNanos, outbox);
