Compare selection policies on live instances

Cause: no figure could be given for a policy under load and faults. Change: PolicyComparison runs scenarios (steady load, noisy neighbours, straggler, fail-fast, cold wave, failure domain move, overload) with rounds of all policies interleaved; bin/bench starts it.

--- a/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
+++ b/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
@@ -1,8 +1,5 @@
 package org.snipeslip.standin;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -37,7 +34,6 @@
     public static final String CHARGE_PATH = "/charges";
 
     private static final String HOST = "127.0.0.1";
-    private static final List<String> REGIONS = List.of("fleuve", "cap-vert", "casamance");
     private static final int PORTS_PER_ROLE = 100;
     private static final long READY_WAIT_MILLIS = 20;
 
@@ -49,7 +45,7 @@
     private final List<EntryProcess> entries = new ArrayList<>();
     private final XnioWorker backendWorker;
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final DeploymentObjects objects;
     private final DemoPublisher publisher;
 
     /**
@@ -64,6 +60,7 @@
             throws IOException, InterruptedException {
         this.spec = spec;
         this.basePort = basePort;
+        this.objects = new DeploymentObjects(spec, HOST, basePort + PORTS_PER_ROLE);
         backendWorker =
                 Xnio.getInstance()
                         .createWorker(
@@ -76,7 +73,7 @@
             backendServers.add(backendServer(i));
         }
         publisher = new DemoPublisher(origin(basePort));
-        publisher.publish(objects(List.of()));
+        publisher.publish(objects.json(List.of()));
         for (int i = 0; i < spec.instances(); i++) {
             entries.add(new EntryProcess(settings(i)));
         }
@@ -138,7 +135,7 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public void takeOut(List<Integer> outOfService) throws IOException, InterruptedException {
-        publisher.publish(objects(outOfService));
+        publisher.publish(objects.json(outOfService));
     }
 
     private BackendServerStandIn backendServer(int index) {
@@ -155,56 +152,12 @@
                 ledger);
     }
 
-    private List<String> objects(List<Integer> outOfService) {
-        List<String> objects = new ArrayList<>();
-        for (String region : REGIONS) {
-            objects.add(
-                    object("HomeRegion", region)
-                            .put("hostsObjectApi", region.equals(REGIONS.getFirst()))
-                            .toString());
-        }
-        for (int i = 0; i < spec.failureDomains(); i++) {
-            objects.add(
-                    object("FailureDomain", "fd-" + i)
-                            .put("homeRegion", region(i))
-                            .put("inService", !outOfService.contains(i))
-                            .toString());
-        }
-        ObjectNode service = object("Service", "marees");
-        ArrayNode servers = service.putArray("backendServers");
-        for (int i = 0; i < spec.backendServers(); i++) {
-            servers.addObject()
-                    .put("name", "marees-" + i)
-                    .put("host", HOST)
-                    .put("port", backendPort(i))
-                    .put("failureDomain", "fd-" + i % spec.failureDomains())
-                    .put("slots", spec.slots())
-                    .put("connectionLimit", 220);
-        }
-        objects.add(service.toString());
-        objects.add(route("reads", READ_PATH, "INTERACTIVE").toString());
-        objects.add(route("archive", BATCH_PATH, "BATCH").toString());
-        objects.add(route("charges", CHARGE_PATH, "INTERACTIVE").toString());
-        return objects;
-    }
-
-    private ObjectNode route(String name, String pathPrefix, String callClass) {
-        return object("Route", name)
-                .put("pathPrefix", pathPrefix)
-                .put("service", "marees")
-                .put("callClass", callClass);
-    }
-
-    private ObjectNode object(String kind, String name) {
-        return mapper.createObjectNode().put("kind", kind).put("name", name);
-    }
-
     private ProcessSettings settings(int index) {
         InstanceSettings instance =
                 new InstanceSettings(
                         new InstanceId("entry-" + index),
                         new FailureDomainId("fd-" + index % spec.failureDomains()),
-                        new RegionId(region(index % spec.failureDomains())),
+                        new RegionId(DeploymentObjects.region(index % spec.failureDomains())),
                         new PeerAddress(HOST, basePort + 3 * PORTS_PER_ROLE + index),
                         System.currentTimeMillis(),
                         spec.call(),
@@ -225,10 +178,6 @@
         }
     }
 
-    private String region(int failureDomain) {
-        return REGIONS.get(failureDomain % REGIONS.size());
-    }
-
     private int backendPort(int index) {
         return basePort + PORTS_PER_ROLE + index;
     }
--- /dev/null
+++ b/standin/src/main/java/org/snipeslip/standin/bench/BenchMain.java
@@ -0,0 +1,34 @@
+package org.snipeslip.standin.bench;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.snipeslip.core.call.CallSettings;
+
+/** Runs the policy comparison: scenario names, or "all", then rounds and seconds. */
+public final class BenchMain {
+    private static final int DEFAULT_ROUNDS = 5;
+    private static final double DEFAULT_SECONDS = 4;
+
+    private BenchMain() {}
+
+    /**
+     * Runs the scenarios named.
+     *
+     * @param args scenario names separated by commas, rounds, seconds
+     * @throws Exception if a deployment cannot be started
+     */
+    public static void main(String[] args) throws Exception {
+        List<String> names = args.length > 0 ? Arrays.asList(args[0].split(",")) : List.of("all");
+        int rounds = args.length > 1 ? Integer.parseInt(args[1]) : DEFAULT_ROUNDS;
+        double seconds = args.length > 2 ? Double.parseDouble(args[2]) : DEFAULT_SECONDS;
+        PolicyComparison comparison =
+                new PolicyComparison(Map.of("default", CallSettings.DEFAULT), System.out);
+        for (Scenario scenario : Scenario.all()) {
+            if (names.contains("all") || names.contains(scenario.name())) {
+                comparison.run(scenario, rounds, seconds);
+            }
+        }
+        System.exit(0);
+    }
+}
