--- a/standin/src/main/java/org/snipeslip/standin/CallPlan.java
+++ b/standin/src/main/java/org/snipeslip/standin/CallPlan.java
@@ -3,11 +3,12 @@
 import java.net.URI;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * Calls that a load run sends.
  *
- * @param origins targets, taken in turn
+ * @param origins gives the targets at a moment, taken in turn; never empty
  * @param method HTTP method
  * @param path path of the calls
  * @param callsPerSecond rate
@@ -16,16 +17,15 @@
  * @param headers further header fields
  */
 public record CallPlan(
-        List<URI> origins,
+        Supplier<List<URI>> origins,
         String method,
         String path,
         double callsPerSecond,
         String keyPrefix,
         int copies,
         Map<String, String> headers) {
-    /** Copies the collections. */
+    /** Copies the map. */
     public CallPlan {
-        origins = List.copyOf(origins);
         headers = Map.copyOf(headers);
     }
 
@@ -38,7 +38,7 @@
      * @return the plan
      */
     public static CallPlan reads(List<URI> origins, String path, double callsPerSecond) {
-        return new CallPlan(origins, "GET", path, callsPerSecond, "", 1, Map.of());
+        return new CallPlan(() -> origins, "GET", path, callsPerSecond, "", 1, Map.of());
     }
 
     /**
@@ -53,6 +53,7 @@
      */
     public static CallPlan keyed(
             List<URI> origins, String path, double callsPerSecond, String keyPrefix, int copies) {
-        return new CallPlan(origins, "POST", path, callsPerSecond, keyPrefix, copies, Map.of());
+        return new CallPlan(
+                () -> origins, "POST", path, callsPerSecond, keyPrefix, copies, Map.of());
     }
 }
--- a/standin/src/main/java/org/snipeslip/standin/DeploymentObjects.java
+++ b/standin/src/main/java/org/snipeslip/standin/DeploymentObjects.java
@@ -8,7 +8,6 @@
 
 /** Configuration objects of a deployment of stand-ins: one service with three routes. */
 final class DeploymentObjects {
-    private static final List<String> REGIONS = List.of("fleuve", "cap-vert", "casamance");
     private static final String SERVICE = "marees";
     private static final int CONNECTION_LIMIT = 220;
 
@@ -23,23 +22,19 @@
         this.firstBackendPort = firstBackendPort;
     }
 
-    static String region(int failureDomain) {
-        return REGIONS.get(failureDomain % REGIONS.size());
-    }
-
     /** Returns the objects as JSON, with some failure domains out of service. */
     List<String> json(List<Integer> outOfService) {
         List<String> objects = new ArrayList<>();
-        for (String region : REGIONS) {
+        for (String region : DeploymentRegions.ALL) {
             objects.add(
                     object("HomeRegion", region)
-                            .put("hostsObjectApi", region.equals(REGIONS.getFirst()))
+                            .put("hostsObjectApi", region.equals(DeploymentRegions.ALL.getFirst()))
                             .toString());
         }
         for (int i = 0; i < spec.failureDomains(); i++) {
             objects.add(
                     object("FailureDomain", "fd-" + i)
-                            .put("homeRegion", region(i))
+                            .put("homeRegion", DeploymentRegions.region(i))
                             .put("inService", !outOfService.contains(i))
                             .toString());
         }
--- a/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
+++ b/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
@@ -157,7 +157,7 @@
                 new InstanceSettings(
                         new InstanceId("entry-" + index),
                         new FailureDomainId("fd-" + index % spec.failureDomains()),
-                        new RegionId(DeploymentObjects.region(index % spec.failureDomains())),
+                        new RegionId(DeploymentRegions.region(index % spec.failureDomains())),
                         new PeerAddress(HOST, basePort + 3 * PORTS_PER_ROLE + index),
                         System.currentTimeMillis(),
                         spec.call(),
--- a/standin/src/main/java/org/snipeslip/standin/LoadGenerator.java
+++ b/standin/src/main/java/org/snipeslip/standin/LoadGenerator.java
@@ -83,7 +83,8 @@
             headers.put("Idempotency-Key", plan.keyPrefix() + "-" + index);
             body = "charge " + index;
         }
-        URI origin = plan.origins().get((index + copy) % plan.origins().size());
+        List<URI> origins = plan.origins().get();
+        URI origin = origins.get((index + copy) % origins.size());
         recorder.sent();
         clients.get(index % clients.size())
                 .send(
