Check a whole configuration set and report every fault

Cause: objects refer to each other by name, and nothing stopped a set with dangling names, ambiguous routes or unservable home regions.

Change: ConfigCheck applies all rules without I/O and returns all faults, each with source, object, field and rule. A set is bounded to 15,000 objects in total besides 4,096 of a kind, because a head holds 67 bytes per part and must fit into one object API value of 1 MiB.

--- a/core/src/main/java/org/snipeslip/core/config/ConfigSet.java
+++ b/core/src/main/java/org/snipeslip/core/config/ConfigSet.java
@@ -1,5 +1,6 @@
 package org.snipeslip.core.config;
 
+import java.util.HashMap;
 import java.util.Map;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.Generation;
@@ -38,6 +39,33 @@
         routes = Map.copyOf(routes);
     }
 
+    /**
+     * Sorts objects by kind and name. Of two objects with one name the later one stays; {@link
+     * ConfigCheck} refuses such sets.
+     *
+     * @param generation number of the set
+     * @param objects the objects
+     * @return the set
+     */
+    public static ConfigSet of(Generation generation, Iterable<? extends ConfigObject> objects) {
+        Map<RegionId, HomeRegion> homeRegions = new HashMap<>();
+        Map<FailureDomainId, FailureDomain> failureDomains = new HashMap<>();
+        Map<OrganisationId, Organisation> organisations = new HashMap<>();
+        Map<ServiceId, Service> services = new HashMap<>();
+        Map<RouteId, Route> routes = new HashMap<>();
+        for (ConfigObject object : objects) {
+            switch (object) {
+                case HomeRegion o -> homeRegions.put(o.id(), o);
+                case FailureDomain o -> failureDomains.put(o.id(), o);
+                case Organisation o -> organisations.put(o.id(), o);
+                case Service o -> services.put(o.id(), o);
+                case Route o -> routes.put(o.id(), o);
+            }
+        }
+        return new ConfigSet(
+                generation, homeRegions, failureDomains, organisations, services, routes);
+    }
+
     /**
      * Returns the same objects under another generation.
      *
--- a/core/src/main/java/org/snipeslip/core/config/HomeRegion.java
+++ b/core/src/main/java/org/snipeslip/core/config/HomeRegion.java
@@ -8,4 +8,14 @@
  * @param id the name
  * @param hostsObjectApi whether the platform's object API stands in this region
  */
-public record HomeRegion(RegionId id, boolean hostsObjectApi) {}
+public record HomeRegion(RegionId id, boolean hostsObjectApi) implements ConfigObject {
+    @Override
+    public ObjectKind kind() {
+        return ObjectKind.HOME_REGION;
+    }
+
+    @Override
+    public String name() {
+        return id.value();
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/config/Route.java
+++ b/core/src/main/java/org/snipeslip/core/config/Route.java
@@ -27,7 +27,8 @@
         CallClass callClass,
         Set<String> idempotentMethods,
         Set<RegionId> homeRegions,
-        long deadlineMillis) {
+        long deadlineMillis)
+        implements ConfigObject {
     /** Methods that are safe by definition (RFC 9110), the default of a route. */
     public static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
@@ -47,4 +48,14 @@
     public boolean isIdempotent(String method) {
         return idempotentMethods.contains(method);
     }
+
+    @Override
+    public ObjectKind kind() {
+        return ObjectKind.ROUTE;
+    }
+
+    @Override
+    public String name() {
+        return id.value();
+    }
 }
--- a/core/src/main/java/org/snipeslip/core/error/ConfigFault.java
+++ b/core/src/main/java/org/snipeslip/core/error/ConfigFault.java
@@ -10,6 +10,11 @@
  * @param detail the value found and what is allowed
  */
 public record ConfigFault(String source, String object, String field, Rule rule, String detail) {
+    @Override
+    public String toString() {
+        return source + ": " + object + ": " + field + ": " + rule + ": " + detail;
+    }
+
     /** The rules of a configuration. */
     public enum Rule {
         /** The text is no valid YAML or JSON. */
@@ -24,6 +29,10 @@
         WRONG_TYPE,
         /** A value is out of its range. */
         OUT_OF_RANGE,
+        /** A text does not have the required form. */
+        INVALID_FORMAT,
+        /** A backend server is not named by an IP address. */
+        NOT_AN_IP_ADDRESS,
         /** Two objects of a kind have one name. */
         DUPLICATE_NAME,
         /** The object that a field names does not exist. */
