Limit the object API calls of an instance with one shared gate

Cause: engines called the object API without a common budget, so a fleet could exceed its rates and call all at once after an outage.

Change: core.store.StoreGate (token bucket, calls in flight with waiting watches counted, full-jitter back-off, one trial call at a time after a failure, bounded queue that fails the oldest non-watch call with NOT_SENT) sits in Instance between the engines and the shell.

Check that the tests can fail: without the token comparison StoreGateTest.keepsItsBudgetAndEndsEachCallOnce and sendsOneTrialAtATimeAfterAFailure are red; without the in-flight bound keepsItsBudgetAndEndsEachCallOnce is red. The trial test found that the bucket refilled to its burst during back-off; it now holds one token then.

--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -1,6 +1,7 @@
 package org.snipeslip.core.instance;
 
 import java.util.List;
+import java.util.SplittableRandom;
 import org.snipeslip.core.call.CallEngine;
 import org.snipeslip.core.config.ConfigCodec;
 import org.snipeslip.core.config.ConfigSet;
@@ -11,6 +12,7 @@
 import org.snipeslip.core.once.OnceEngine;
 import org.snipeslip.core.peer.ClaimMessage;
 import org.snipeslip.core.spread.ControlEngine;
+import org.snipeslip.core.store.StoreGate;
 
 /**
  * The state machine of one instance: takes events with their time and returns typed actions. It
@@ -21,6 +23,7 @@
     private final CallEngine calls;
     private final ControlEngine control;
     private final OnceEngine once;
+    private final StoreGate storeGate;
     private volatile ConfigSet inForce = ConfigSet.EMPTY;
 
     /**
@@ -34,6 +37,7 @@
         this.calls = new CallEngine(settings.call(), settings.region(), seed);
         this.control = new ControlEngine(settings.control(), codec, seed + 1);
         this.once = new OnceEngine();
+        this.storeGate = new StoreGate(settings.control().store(), new SplittableRandom(seed + 2));
     }
 
     /**
@@ -45,12 +49,15 @@
      */
     public List<Action> handle(Event event, long nowNanos) {
         Outbox outbox = new Outbox();
+        if (event instanceof Event.StoreAnswered answered) {
+            storeGate.answered(answered, nowNanos);
+        }
         dispatch(event, nowNanos, outbox);
         Object internal;
         while ((internal = outbox.pollInternal()) != null) {
             passOn(internal, nowNanos, outbox);
         }
-        return outbox.actions();
+        return storeGate.pass(outbox.actions(), nowNanos);
     }
 
     /**
@@ -62,6 +69,15 @@
         return inForce;
     }
 
+    /**
+     * Returns the object API budget, for metrics.
+     *
+     * @return the gate
+     */
+    public StoreGate storeGate() {
+        return storeGate;
+    }
+
     /**
      * Tells whether the platform may send calls here.
      *
@@ -99,9 +115,13 @@
             case CALL -> calls.handle(event, nowNanos, outbox);
             case CONTROL -> control.handle(event, nowNanos, outbox);
             case ONCE -> once.handle(event, nowNanos, outbox);
-            case INSTANCE -> {
-                // The instance itself has no timers yet.
-            }
+            default -> endRefusedCalls(nowNanos, outbox);
+        }
+    }
+
+    private void endRefusedCalls(long nowNanos, Outbox outbox) {
+        for (Event.StoreAnswered refused : storeGate.takeRefused(nowNanos)) {
+            toOwner(refused.call().owner(), refused, nowNanos, outbox);
         }
     }
 
