--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -1,6 +1,7 @@
 package org.snipeslip.core.instance;
 
 import java.util.List;
+import java.util.SplittableRandom;
 import org.snipeslip.core.call.CallEngine;
 import org.snipeslip.core.config.ConfigCodec;
 import org.snipeslip.core.config.ConfigSet;
@@ -11,6 +12,7 @@
 import org.snipeslip.core.once.OnceEngine;
 import org.snipeslip.core.peer.ClaimMessage;
 import org.snipeslip.core.spread.ControlEngine;
+import org.snipeslip.core.store.StoreGate;
 
 /**
  * The state machine of one instance: takes events with their time and returns typed actions. It
@@ -47,6 +49,9 @@
      */
     public List<Action> handle(Event event, long nowNanos) {
         Outbox outbox = new Outbox();
+        if (event instanceof Event.StoreAnswered answered) {
+            storeGate.answered(answered, nowNanos);
+        }
         dispatch(event, nowNanos, outbox);
         Object internal;
         while ((internal = outbox.pollInternal()) != null) {
@@ -67,6 +72,15 @@
         return inForce;
     }
 
+    /**
+     * Returns the object API budget, for metrics.
+     *
+     * @return the gate
+     */
+    public StoreGate storeGate() {
+        return storeGate;
+    }
+
     /**
      * Tells whether the platform may send calls here.
      *
