--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -24,6 +24,7 @@
     private final ControlEngine control;
     private final OnceEngine once;
     private final StopSequence stop;
+    private final StoreGate storeGate;
     private volatile ConfigSet inForce = ConfigSet.EMPTY;
 
     /**
@@ -38,6 +39,7 @@
         this.control = new ControlEngine(settings.control(), codec, seed + 1);
         this.once = new OnceEngine();
         this.stop = new StopSequence(settings.stop());
+        this.storeGate = new StoreGate(settings.control().store(), new SplittableRandom(seed + 2));
     }
 
     /**
@@ -60,7 +62,9 @@
         if (stop.isStopping()) {
             continueStop(outbox);
         }
-        return outbox.actions();
+        return mayCallStore(event, outbox)
+                ? storeGate.pass(outbox.actions(), nowNanos)
+                : outbox.actions();
     }
 
     /**
@@ -125,6 +129,7 @@
             case INSTANCE -> {
                 if (event instanceof Event.TimerFired fired) {
                     stop.timerFired(fired.timer());
+                    endRefusedCalls(nowNanos, outbox);
                 }
             }
             default -> throw new IllegalStateException(owner.name());
@@ -142,6 +147,20 @@
         }
     }
 
+    private void endRefusedCalls(long nowNanos, Outbox outbox) {
+        for (Event.StoreAnswered refused : storeGate.takeRefused(nowNanos)) {
+            toOwner(refused.call().owner(), refused, nowNanos, outbox);
+        }
+    }
+
+    /** Keeps the lock of the gate off the path of calls that do not concern the object API. */
+    private static boolean mayCallStore(Event event, Outbox outbox) {
+        return outbox.hasStoreCalls()
+                || event instanceof Event.StoreAnswered
+                || event instanceof Event.TimerFired fired
+                        && fired.timer().owner() == EngineName.INSTANCE;
+    }
+
     private void continueStop(Outbox outbox) {
         if (stop.finish(calls.openCalls() == 0 && once.isHandedOver())) {
             outbox.add(new Action.FinishStop(calls.openCalls()));
--- a/core/src/main/java/org/snipeslip/core/instance/Outbox.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Outbox.java
@@ -16,6 +16,7 @@
 public final class Outbox {
     private final List<Action> actions = new ArrayList<>(4);
     private Deque<Object> internal;
+    private boolean storeCalls;
 
     /**
      * Adds an action.
@@ -26,6 +27,8 @@
         actions.add(action);
         if (action instanceof Action.ConfigAdopted) {
             addInternal(action);
+        } else if (action instanceof Action.CallStore) {
+            storeCalls = true;
         }
     }
 
@@ -74,6 +77,10 @@
         return actions;
     }
 
+    boolean hasStoreCalls() {
+        return storeCalls;
+    }
+
     /** Takes the next value meant for another engine, or null. */
     Object pollInternal() {
         return internal == null ? null : internal.poll();
