Read configuration strictly and publish it atomically

Cause: ObjectReader replaced missing fields and wrong types by defaults, so a typing error passed as a valid value; nothing published a set.

Change: files (YAML, several documents) and parts (JSON) are read by one strict reader that reports unknown fields, wrong types and missing fields with their place. Publisher writes the parts and then the head by conditional write, settles lost answers by the writer identity, and reports conflicts with the objects that differ. The candidates for deletion are listed before the head is written and are deleted by version; a part that exists but is not named by the head is written again, so that a slow deletion by an earlier publication fails. FailureDomainSwitch changes one field and repeats after a conflict.

With the rewriting of existing parts taken out, PublisherTest.rewrittenPartSurvivesPendingDeletion fails: the head names a part that is gone.

--- a/server/src/main/java/org/snipeslip/server/config/ConfigJson.java
+++ b/server/src/main/java/org/snipeslip/server/config/ConfigJson.java
@@ -1,6 +1,7 @@
 package org.snipeslip.server.config;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -11,48 +12,57 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import org.snipeslip.core.config.ConfigCodec;
 import org.snipeslip.core.config.ConfigHead;
+import org.snipeslip.core.config.ConfigObject;
 import org.snipeslip.core.config.ConfigPart;
 import org.snipeslip.core.config.ConfigSet;
-import org.snipeslip.core.config.FailureDomain;
-import org.snipeslip.core.config.HomeRegion;
-import org.snipeslip.core.config.Organisation;
-import org.snipeslip.core.config.Route;
-import org.snipeslip.core.config.Service;
 import org.snipeslip.core.error.ConfigFault;
-import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.error.ConfigFault.Rule;
 import org.snipeslip.core.id.Generation;
-import org.snipeslip.core.id.OrganisationId;
-import org.snipeslip.core.id.RegionId;
-import org.snipeslip.core.id.RouteId;
-import org.snipeslip.core.id.ServiceId;
 
-/** Stores configuration objects as JSON, one object a part. */
+/**
+ * Stores configuration objects as JSON, one object a part. Reading is as strict about fields and
+ * types as reading files is. Value ranges and references are not checked again, so that a stricter
+ * check in a later release does not keep an instance from a published configuration.
+ */
 public final class ConfigJson implements ConfigCodec {
-    private static final String KIND = "kind";
-
     private final ObjectMapper mapper =
-            JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+            JsonMapper.builder()
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
 
     @Override
     public Either<ConfigFault, ConfigHead> decodeHead(String text) {
-        try {
-            JsonNode node = mapper.readTree(text);
-            List<String> digests = new ArrayList<>();
-            node.path("digests").forEach(digest -> digests.add(digest.asText()));
-            return Either.right(
-                    new ConfigHead(
-                            new Generation(node.path("generation").asLong()),
-                            node.path("writer").asText(),
-                            digests));
-        } catch (JsonProcessingException e) {
-            return Either.left(syntax(ConfigHead.KEY, e));
+        return parse(ConfigHead.KEY, text).flatMap(ConfigJson::readHead);
+    }
+
+    private static Either<ConfigFault, ConfigHead> readHead(JsonNode node) {
+        List<ConfigFault> faults = new ArrayList<>();
+        FieldReader fields = new FieldReader(ConfigHead.KEY, "", "", node, faults);
+        if (!fields.isObject()) {
+            fields.wrongType("", "a map", node);
+            return Either.left(faults.getFirst());
+        }
+        long generation = fields.integer("generation", 1, Long.MAX_VALUE);
+        String writer = fields.text("writer");
+        List<String> digests = new ArrayList<>();
+        for (JsonNode digest : fields.requiredElements("digests")) {
+            if (digest.isTextual()) {
+                digests.add(digest.textValue());
+            } else {
+                fields.wrongType("digests", "a text", digest);
+            }
         }
+        fields.finish();
+        return faults.isEmpty()
+                ? Either.right(new ConfigHead(new Generation(generation), writer, digests))
+                : Either.left(faults.getFirst());
     }
 
     @Override
@@ -66,33 +76,22 @@
 
     @Override
     public Either<ConfigFault, ConfigSet> decode(ConfigHead head, List<ConfigPart> parts) {
-        Map<RegionId, HomeRegion> homeRegions = new HashMap<>();
-        Map<FailureDomainId, FailureDomain> failureDomains = new HashMap<>();
-        Map<OrganisationId, Organisation> organisations = new HashMap<>();
-        Map<ServiceId, Service> services = new HashMap<>();
-        Map<RouteId, Route> routes = new HashMap<>();
+        List<ConfigObject> objects = new ArrayList<>();
+        Set<String> labels = new HashSet<>();
         for (ConfigPart part : parts) {
-            Either<ConfigFault, Object> object = decodeObject(part.digest(), part.text());
-            if (object.isLeft()) {
-                return Either.left(object.getLeft());
+            Either<ConfigFault, ConfigObject> read = decodeObject(part.digest(), part.text());
+            if (read.isLeft()) {
+                return Either.left(read.getLeft());
             }
-            switch (object.get()) {
-                case HomeRegion o -> homeRegions.put(o.id(), o);
-                case FailureDomain o -> failureDomains.put(o.id(), o);
-                case Organisation o -> organisations.put(o.id(), o);
-                case Service o -> services.put(o.id(), o);
-                case Route o -> routes.put(o.id(), o);
-                default -> throw new IllegalStateException(object.get().getClass().getName());
+            String label = read.get().label();
+            if (!labels.add(label)) {
+                return Either.left(
+                        new ConfigFault(
+                                part.digest(), label, "name", Rule.DUPLICATE_NAME, "found twice"));
             }
+            objects.add(read.get());
         }
-        return Either.right(
-                new ConfigSet(
-                        head.generation(),
-                        homeRegions,
-                        failureDomains,
-                        organisations,
-                        services,
-                        routes));
+        return Either.right(ConfigSet.of(head.generation(), objects));
     }
 
     @Override
@@ -110,33 +109,30 @@
      *
      * @param source file or key, for messages
      * @param text JSON with a field "kind"
-     * @return the object, or why it cannot be read
+     * @return the object, or its first fault
+     */
+    public Either<ConfigFault, ConfigObject> decodeObject(String source, String text) {
+        return parse(source, text)
+                .flatMap(node -> ObjectReader.read(source, node).mapLeft(List::getFirst));
+    }
+
+    /**
+     * Writes an object in its canonical form.
+     *
+     * @param object the object
+     * @return the part that stores it
      */
-    public Either<ConfigFault, Object> decodeObject(String source, String text) {
+    public ConfigPart encodeObject(ConfigObject object) {
+        String text = ObjectWriter.write(object).toString();
+        return new ConfigPart(digest(text), text);
+    }
+
+    private Either<ConfigFault, JsonNode> parse(String source, String text) {
         try {
-            JsonNode node = mapper.readTree(text);
-            String kind = node.path(KIND).asText();
-            return switch (kind) {
-                case "HomeRegion" -> Either.right(ObjectReader.homeRegion(node));
-                case "FailureDomain" -> Either.right(ObjectReader.failureDomain(node));
-                case "Organisation" -> Either.right(ObjectReader.organisation(node));
-                case "Service" -> Either.right(ObjectReader.service(node));
-                case "Route" -> Either.right(ObjectReader.route(node));
-                default ->
-                        Either.left(
-                                new ConfigFault(
-                                        source,
-                                        "",
-                                        KIND,
-                                        ConfigFault.Rule.UNKNOWN_KIND,
-                                        "found \"" + kind + "\""));
-            };
+            return Either.right(mapper.readTree(text));
         } catch (JsonProcessingException e) {
-            return Either.left(syntax(source, e));
+            String detail = String.valueOf(e.getOriginalMessage());
+            return Either.left(new ConfigFault(source, "", "", Rule.SYNTAX, detail));
         }
     }
-
-    private static ConfigFault syntax(String source, JsonProcessingException e) {
-        return new ConfigFault(source, "", "", ConfigFault.Rule.SYNTAX, e.getOriginalMessage());
-    }
 }
--- a/server/src/main/java/org/snipeslip/server/config/ObjectReader.java
+++ b/server/src/main/java/org/snipeslip/server/config/ObjectReader.java
@@ -1,17 +1,24 @@
 package org.snipeslip.server.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.CallClass;
+import org.snipeslip.core.config.ConfigObject;
 import org.snipeslip.core.config.FailureDomain;
 import org.snipeslip.core.config.HomeRegion;
+import org.snipeslip.core.config.ObjectKind;
 import org.snipeslip.core.config.Organisation;
 import org.snipeslip.core.config.Route;
 import org.snipeslip.core.config.Service;
+import org.snipeslip.core.error.ConfigFault;
+import org.snipeslip.core.error.ConfigFault.Rule;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.OrganisationId;
@@ -19,77 +26,121 @@
 import org.snipeslip.core.id.RouteId;
 import org.snipeslip.core.id.ServiceId;
 
-/** Reads each kind of configuration object from its JSON tree. */
+/** Reads each kind of configuration object from its tree, with every fault of the object. */
 final class ObjectReader {
     private static final long DEFAULT_DEADLINE_MILLIS = 10_000;
     private static final int DEFAULT_CONNECTION_LIMIT = 200;
+    private static final int DEFAULT_SLOTS = 1;
+    private static final int DEFAULT_WEIGHT = 1;
 
     private ObjectReader() {}
 
-    static HomeRegion homeRegion(JsonNode node) {
-        return new HomeRegion(
-                new RegionId(name(node)), node.path("hostsObjectApi").asBoolean(false));
+    static Either<List<ConfigFault>, ConfigObject> read(String source, JsonNode node) {
+        if (!node.isObject()) {
+            return fault(source, "", Rule.WRONG_TYPE, "an object of the configuration is a map");
+        }
+        JsonNode kindNode = node.get(ObjectWriter.KIND);
+        if (kindNode == null) {
+            return fault(source, ObjectWriter.KIND, Rule.MISSING_FIELD, "the field is required");
+        }
+        Optional<ObjectKind> kind =
+                kindNode.isTextual() ? ObjectKind.of(kindNode.textValue()) : Optional.empty();
+        if (kind.isEmpty()) {
+            return fault(source, ObjectWriter.KIND, Rule.UNKNOWN_KIND, "found " + kindNode);
+        }
+        List<ConfigFault> faults = new ArrayList<>();
+        JsonNode name = node.path(ObjectWriter.NAME);
+        String label = kind.get().text() + (name.isTextual() ? " " + name.textValue() : "");
+        FieldReader fields = new FieldReader(source, label, "", node, faults);
+        fields.text(ObjectWriter.KIND);
+        ConfigObject object = read(kind.get(), fields);
+        fields.finish();
+        return faults.isEmpty() ? Either.right(object) : Either.left(List.copyOf(faults));
     }
 
-    static FailureDomain failureDomain(JsonNode node) {
-        return new FailureDomain(
-                new FailureDomainId(name(node)),
-                new RegionId(node.path("homeRegion").asText()),
-                node.path("inService").asBoolean(true));
+    private static Either<List<ConfigFault>, ConfigObject> fault(
+            String source, String field, Rule rule, String detail) {
+        return Either.left(List.of(new ConfigFault(source, "", field, rule, detail)));
     }
 
-    static Organisation organisation(JsonNode node) {
-        return new Organisation(
-                new OrganisationId(name(node)),
-                regions(node.path("homeRegions")),
-                node.path("weight").asInt(1));
+    private static ConfigObject read(ObjectKind kind, FieldReader fields) {
+        String name = fields.text(ObjectWriter.NAME);
+        return switch (kind) {
+            case HOME_REGION ->
+                    new HomeRegion(new RegionId(name), fields.booleanOr("hostsObjectApi", false));
+            case FAILURE_DOMAIN ->
+                    new FailureDomain(
+                            new FailureDomainId(name),
+                            new RegionId(fields.text("homeRegion")),
+                            fields.booleanOr("inService", true));
+            case ORGANISATION ->
+                    new Organisation(
+                            new OrganisationId(name),
+                            regions(fields),
+                            fields.intOr("weight", DEFAULT_WEIGHT));
+            case SERVICE -> service(name, fields);
+            case ROUTE -> route(name, fields);
+        };
     }
 
-    static Service service(JsonNode node) {
+    private static Service service(String name, FieldReader fields) {
         List<BackendServer> servers = new ArrayList<>();
-        node.path("backendServers").forEach(server -> servers.add(backendServer(server)));
-        return new Service(new ServiceId(name(node)), servers);
+        List<JsonNode> elements = fields.requiredElements("backendServers");
+        for (int i = 0; i < elements.size(); i++) {
+            String field = "backendServers[" + i + "]";
+            FieldReader inner = fields.inner(field, elements.get(i));
+            if (inner.isObject()) {
+                servers.add(backendServer(inner));
+                inner.finish();
+            } else {
+                fields.wrongType(field, "a map", elements.get(i));
+            }
+        }
+        return new Service(new ServiceId(name), servers);
     }
 
-    static Route route(JsonNode node) {
-        return new Route(
-                new RouteId(name(node)),
-                node.path("host").asText("*"),
-                node.path("pathPrefix").asText("/"),
-                texts(node.path("methods")),
-                new ServiceId(node.path("service").asText()),
-                CallClass.valueOf(node.path("callClass").asText("INTERACTIVE").toUpperCase()),
-                node.has("idempotentMethods")
-                        ? texts(node.path("idempotentMethods"))
-                        : Route.SAFE_METHODS,
-                regions(node.path("homeRegions")),
-                node.path("deadlineMillis").asLong(DEFAULT_DEADLINE_MILLIS));
-    }
-
-    private static BackendServer backendServer(JsonNode node) {
+    private static BackendServer backendServer(FieldReader fields) {
         return new BackendServer(
-                new BackendServerId(name(node)),
-                node.path("host").asText(),
-                node.path("port").asInt(),
-                new FailureDomainId(node.path("failureDomain").asText()),
-                node.path("slots").asInt(1),
-                node.path("connectionLimit").asInt(DEFAULT_CONNECTION_LIMIT),
-                node.path("draining").asBoolean(false));
+                new BackendServerId(fields.text(ObjectWriter.NAME)),
+                fields.text("host"),
+                (int) fields.integer("port", Integer.MIN_VALUE, Integer.MAX_VALUE),
+                new FailureDomainId(fields.text("failureDomain")),
+                fields.intOr("slots", DEFAULT_SLOTS),
+                fields.intOr("connectionLimit", DEFAULT_CONNECTION_LIMIT),
+                fields.booleanOr("draining", false));
     }
 
-    private static String name(JsonNode node) {
-        return node.path("name").asText();
+    private static Route route(String name, FieldReader fields) {
+        return new Route(
+                new RouteId(name),
+                fields.textOr("host", "*"),
+                fields.textOr("pathPrefix", "/"),
+                fields.textsOr("methods", Set.of()),
+                new ServiceId(fields.text("service")),
+                callClass(fields),
+                fields.textsOr("idempotentMethods", Route.SAFE_METHODS),
+                regions(fields),
+                fields.integerOr(
+                        "deadlineMillis", DEFAULT_DEADLINE_MILLIS, Long.MIN_VALUE, Long.MAX_VALUE));
     }
 
-    private static Set<String> texts(JsonNode array) {
-        Set<String> texts = new HashSet<>();
-        array.forEach(element -> texts.add(element.asText()));
-        return texts;
+    private static CallClass callClass(FieldReader fields) {
+        String text = fields.textOr("callClass", CallClass.INTERACTIVE.name());
+        for (CallClass callClass : CallClass.values()) {
+            if (callClass.name().equals(text.toUpperCase(Locale.ROOT))) {
+                return callClass;
+            }
+        }
+        if (!text.equals(FieldReader.PLACEHOLDER)) {
+            String detail = "found \"" + text + "\", allowed INTERACTIVE or BATCH";
+            fields.add("callClass", Rule.OUT_OF_RANGE, detail);
+        }
+        return CallClass.INTERACTIVE;
     }
 
-    private static Set<RegionId> regions(JsonNode array) {
-        Set<RegionId> regions = new HashSet<>();
-        array.forEach(element -> regions.add(new RegionId(element.asText())));
-        return regions;
+    private static Set<RegionId> regions(FieldReader fields) {
+        return fields.textsOr("homeRegions", Set.of()).stream()
+                .map(RegionId::new)
+                .collect(Collectors.toSet());
     }
 }
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/config/PartCleaner.java
@@ -0,0 +1,47 @@
+package org.snipeslip.server.config;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.snipeslip.core.config.ConfigHead;
+import org.snipeslip.core.store.StoreAnswer;
+import org.snipeslip.core.store.StoreRequest;
+import org.snipeslip.core.store.StoredObject;
+
+/**
+ * Deletes old parts after a publication, best effort. The candidates are listed before the head is
+ * written and deleted by version, so a part that a later publication has written stays.
+ */
+final class PartCleaner {
+    /** Bounds the object API calls of one publication; the next one deletes the rest. */
+    private static final int MAX_DELETIONS = 256;
+
+    private final RetryingStore store;
+    private final List<StoredObject> candidates;
+
+    PartCleaner(RetryingStore store, ConfigHead previous, ConfigHead next) {
+        this.store = store;
+        Set<String> named = new HashSet<>(previous.digests());
+        named.addAll(next.digests());
+        StoreAnswer answer = store.once(new StoreRequest.ListPrefix(ConfigHead.PART_PREFIX));
+        List<StoredObject> parts =
+                answer instanceof StoreAnswer.Listed listed ? listed.objects() : List.of();
+        candidates =
+                parts.stream()
+                        .filter(part -> !named.contains(PublishedReader.digestOf(part)))
+                        .limit(MAX_DELETIONS)
+                        .toList();
+    }
+
+    int delete() {
+        int deleted = 0;
+        for (StoredObject part : candidates) {
+            StoreAnswer answer = store.once(new StoreRequest.Delete(part.key(), part.version()));
+            if (answer instanceof StoreAnswer.Failed) {
+                return deleted;
+            }
+            deleted += answer instanceof StoreAnswer.Written ? 1 : 0;
+        }
+        return deleted;
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/config/PublisherTest.java
@@ -0,0 +1,232 @@
+package org.snipeslip.server.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.groups.Tuple.tuple;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipeslip.core.config.ConfigHead;
+import org.snipeslip.core.config.ConfigObject;
+import org.snipeslip.core.config.FailureDomain;
+import org.snipeslip.core.config.HomeRegion;
+import org.snipeslip.core.config.Organisation;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.Generation;
+import org.snipeslip.core.id.OrganisationId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.store.StoredObject;
+import org.snipeslip.server.config.FakeObjectStore.Fault;
+
+/** Guards against lost, half-made and misreported publications. */
+class PublisherTest {
+    private static final FailureDomainId DOMAIN = new FailureDomainId("fleuve-1");
+
+    private final FakeObjectStore store = new FakeObjectStore();
+    private final AtomicInteger writers = new AtomicInteger();
+
+    private Publisher publisher() {
+        return new Publisher(store, () -> "writer-" + writers.incrementAndGet(), tries -> {});
+    }
+
+    private PublishedReader reader() {
+        return new PublishedReader(store, tries -> {});
+    }
+
+    /** A set with one organisation of each of the given weights. */
+    private static List<ConfigObject> set(int... weights) {
+        List<ConfigObject> objects = new ArrayList<>();
+        objects.add(new HomeRegion(new RegionId("fleuve"), true));
+        objects.add(new FailureDomain(DOMAIN, new RegionId("fleuve"), true));
+        for (int weight : weights) {
+            objects.add(new Organisation(new OrganisationId("o" + weight), Set.of(), weight));
+        }
+        return objects;
+    }
+
+    private PublishResult publish(List<ConfigObject> objects) {
+        return publisher().publish(reader().read().get(), objects);
+    }
+
+    @Test
+    void publishesAndReadsBack() {
+        PublishResult result = publish(set(1, 2));
+        assertThat(result).isInstanceOf(PublishResult.Published.class);
+        PublishedConfig published = reader().read().get();
+        assertThat(published.head().generation()).isEqualTo(new Generation(1));
+        assertThat(published.objects()).containsExactlyElementsOf(set(1, 2));
+        assertThat(publish(set(1, 2))).isEqualTo(new PublishResult.Unchanged(new Generation(1)));
+    }
+
+    /** Guards against a lost answer reported as a failure, and against a publication made twice. */
+    @ParameterizedTest
+    @CsvSource({"LOSE_ANSWER", "LOSE_REQUEST", "DOWN"})
+    void settlesFaultOfEachCall(Fault fault) {
+        for (int call = 2; call < 8; call++) {
+            FakeObjectStore fresh = new FakeObjectStore();
+            fresh.faultByCall.put(call, fault);
+            PublishResult result =
+                    new Publisher(fresh, () -> "w", tries -> {})
+                            .publish(PublishedConfig.NONE, set(1, 2));
+            assertThat(result).as("call %d", call).isInstanceOf(PublishResult.Published.class);
+            assertThat(fresh.head().generation()).isEqualTo(new Generation(1));
+            assertThat(fresh.missingParts()).isEmpty();
+        }
+    }
+
+    /** Guards against a conflict that overwrites the other publication or hides what differs. */
+    @Test
+    void reportsWinnerAndDifferences() {
+        publish(set(1));
+        PublishedConfig base = reader().read().get();
+        publish(set(1, 2));
+        PublishResult result = publisher().publish(base, set(1, 3));
+        assertThat(result).isInstanceOf(PublishResult.Conflicted.class);
+        PublishResult.Conflicted conflict = (PublishResult.Conflicted) result;
+        assertThat(conflict.winner()).isEqualTo(new Generation(2));
+        assertThat(conflict.writer()).isEqualTo("writer-2");
+        assertThat(conflict.differing().orElseThrow())
+                .extracting(ConfigChange::object, ConfigChange::type)
+                .containsExactly(
+                        tuple("Organisation o2", ConfigChange.Type.REMOVED),
+                        tuple("Organisation o3", ConfigChange.Type.ADDED));
+        assertThat(reader().read().get().objects()).containsExactlyElementsOf(set(1, 2));
+    }
+
+    /** Guards against a lost publication taken for certain when a later one hides the answer. */
+    @Test
+    void reportsSupersededWhenLaterGenerationHidesTheAnswer() {
+        publish(set(1));
+        PublishedConfig base = reader().read().get();
+        // Calls of the publication: create part, list parts, write head, then read the head.
+        store.faultByCall.put(store.calls + 2, Fault.LOSE_ANSWER);
+        store.actionByCall.put(store.calls + 3, () -> publish(set(1, 2, 3)));
+        PublishResult result = publisher().publish(base, set(1, 2));
+        assertThat(result)
+                .isEqualTo(
+                        new PublishResult.Superseded(
+                                new Generation(2), new Generation(3), "writer-3"));
+    }
+
+    /** Guards against "not published" after a write that may have taken effect. */
+    @Test
+    void reportsUnresolvedWhenObjectApiFailsAfterTheWrite() {
+        publish(set(1));
+        PublishedConfig base = reader().read().get();
+        store.faultByCall.put(store.calls + 2, Fault.LOSE_ANSWER);
+        store.actionByCall.put(store.calls + 3, () -> store.down = true);
+        assertThat(publisher().publish(base, set(1, 2)))
+                .isEqualTo(new PublishResult.Unresolved(new Generation(2), "writer-2"));
+    }
+
+    /** Guards against results that contradict the head, under any faults of single calls. */
+    @Property(seed = "20261205")
+    void resultAgreesWithHead(@ForAll @Size(max = 30) List<Fault> faults) {
+        FakeObjectStore faulty = new FakeObjectStore();
+        for (int i = 0; i < faults.size(); i++) {
+            faulty.faultByCall.put(i, faults.get(i));
+        }
+        PublishResult result =
+                new Publisher(faulty, () -> "w", tries -> {})
+                        .publish(PublishedConfig.NONE, set(1, 2));
+        boolean inForce = faulty.head().writer().equals("w");
+        assertThat(faulty.missingParts()).isEmpty();
+        switch (result) {
+            case PublishResult.Published published -> assertThat(inForce).isTrue();
+            case PublishResult.Failed failed -> assertThat(inForce).isFalse();
+            case PublishResult.Unresolved unresolved -> {
+                // Both states are allowed.
+            }
+            default -> throw new AssertionError("no other publication ran: " + result);
+        }
+    }
+
+    /** Guards against a deletion of parts that a publication at the same time relies on. */
+    @Property(seed = "20261206")
+    void headNamesExistingPartsWhenPublicationsInterleave(
+            @ForAll @IntRange(max = 30) int first, @ForAll @IntRange(max = 30) int second) {
+        FakeObjectStore shared = new FakeObjectStore();
+        AtomicInteger ids = new AtomicInteger();
+        Publisher publisher = new Publisher(shared, () -> "w" + ids.incrementAndGet(), tries -> {});
+        PublishedReader reader = new PublishedReader(shared, tries -> {});
+        List<List<ConfigObject>> sets = List.of(set(1, 2), set(3), set(4), set(1, 2));
+        sets.forEach(objects -> publisher.publish(reader.read().get(), objects));
+        int start = shared.calls;
+        Runnable other = () -> publisher.publish(reader.read().get(), set(3, 5));
+        shared.actionByCall.put(start + first, other);
+        shared.actionByCall.put(start + first + second, other);
+        PublishResult result = publisher.publish(reader.read().get(), set(3, 4));
+        assertThat(shared.missingParts()).isEmpty();
+        assertThat(result)
+                .isInstanceOfAny(PublishResult.Published.class, PublishResult.Conflicted.class);
+    }
+
+    /** Guards against a part that is deleted between the check that it exists and the head. */
+    @Test
+    void rewrittenPartSurvivesPendingDeletion() {
+        publish(set(1));
+        publish(set(2));
+        PublishedConfig base = reader().read().get();
+        // Lists the parts of generation 1 as candidates, then writes generation 3 and is paused.
+        int deletion = store.calls + 3;
+        PublishResult[] late = new PublishResult[1];
+        store.actionByCall.put(deletion, () -> late[0] = publish(set(1)));
+        PublishResult paused = publisher().publish(base, set(3));
+        assertThat(paused).isInstanceOf(PublishResult.Published.class);
+        assertThat(late[0]).isInstanceOf(PublishResult.Published.class);
+        assertThat(store.head().generation()).isEqualTo(new Generation(4));
+        assertThat(store.missingParts()).isEmpty();
+    }
+
+    /** Guards against parts that pile up with every publication. */
+    @Test
+    void keepsOnlyPartsOfThisAndThePreviousGeneration() {
+        for (int weight = 1; weight <= 10; weight++) {
+            publish(set(weight));
+        }
+        assertThat(store.parts()).isEqualTo(2 + 2);
+    }
+
+    /** Guards against a removal that is lost or undoes another operator's change. */
+    @Test
+    void switchRepeatsAfterConflict() {
+        publish(set(1));
+        store.actionByCall.put(store.calls + 4, () -> publish(set(1, 2)));
+        FailureDomainSwitch domainSwitch = new FailureDomainSwitch(reader(), publisher());
+        assertThat(domainSwitch.set(DOMAIN, false).orElseThrow())
+                .isInstanceOf(PublishResult.Published.class);
+        PublishedConfig inForce = reader().read().get();
+        assertThat(inForce.head().generation()).isEqualTo(new Generation(3));
+        assertThat(ConfigDiff.between(set(1, 2), inForce.objects()))
+                .isEqualTo(
+                        List.of(
+                                new ConfigChange(
+                                        "FailureDomain fleuve-1",
+                                        ConfigChange.Type.CHANGED,
+                                        List.of("inService"))));
+        assertThat(domainSwitch.set(new FailureDomainId("none"), false)).isEmpty();
+    }
+
+    /** Guards against an empty configuration read in place of one that cannot be read. */
+    @Test
+    void reportsDamagedAndMissingParts() {
+        publish(set(1));
+        String key = ConfigHead.PART_PREFIX + store.head().digests().getFirst();
+        Map<String, StoredObject> objects = store.objects;
+        objects.put(key, new StoredObject(key, "{", 99));
+        assertThat(reader().read().getLeft()).isInstanceOf(StoreProblem.Damaged.class);
+        objects.remove(key);
+        assertThat(reader().read().getLeft()).isInstanceOf(StoreProblem.MissingPart.class);
+        store.down = true;
+        assertThat(reader().read().getLeft()).isInstanceOf(StoreProblem.Unavailable.class);
+    }
+}
