Check process settings against a schema and group them

Cause: the settings reader took defaults for misspelled keys and wrong types, and knew neither peers, limits nor budgets.

Change: settings are checked against a JSON schema kept as a resource. Each fault names the key, the rule and the allowed range. Peer, limit, measuring, object API, log and selection settings are records with documented defaults; the constructor of ProcessSettings with six arguments stays. The peer key is left out of toString and of messages.

Without PARSE_BOOLEAN_LIKE_WORDS_AS_STRINGS the case "decisions: off" fails, because Jackson reads "off" as false.

--- a/cli/src/main/java/org/snipeslip/cli/Main.java
+++ b/cli/src/main/java/org/snipeslip/cli/Main.java
@@ -72,7 +72,10 @@
         OptionSet options = parser.parse(args);
         Path path = Path.of(options.valueOf(file));
         try (EntryProcess process =
-                new EntryProcess(new SettingsReader().read(path, System.currentTimeMillis()))) {
+                new EntryProcess(
+                        new SettingsReader()
+                                .read(path, System.currentTimeMillis())
+                                .getOrElseThrow(faults -> new IOException(faults.toString())))) {
             new CountDownLatch(1).await();
         }
         return EXIT_OK;
--- a/server/src/main/java/org/snipeslip/server/config/ConfigYaml.java
+++ b/server/src/main/java/org/snipeslip/server/config/ConfigYaml.java
@@ -40,6 +40,7 @@
         YAMLFactory factory =
                 YAMLFactory.builder()
                         .loaderOptions(options)
+                        .enable(YAMLParser.Feature.PARSE_BOOLEAN_LIKE_WORDS_AS_STRINGS)
                         .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
                         .disable(YAMLGenerator.Feature.SPLIT_LINES)
                         .build();
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/settings/LogSettings.java
@@ -0,0 +1,22 @@
+package org.snipeslip.server.settings;
+
+/**
+ * Settings of the log.
+ *
+ * @param decisions which decisions are logged
+ * @param sampleEvery one of how many decisions is logged if they are sampled
+ */
+public record LogSettings(Decisions decisions, int sampleEvery) {
+    /** Defaults. */
+    public static final LogSettings DEFAULT = new LogSettings(Decisions.ON, 100);
+
+    /** Which decisions are logged. */
+    public enum Decisions {
+        /** All. */
+        ON,
+        /** None. */
+        OFF,
+        /** One of {@link LogSettings#sampleEvery}. */
+        SAMPLE
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/settings/SettingsReader.java
+++ b/server/src/main/java/org/snipeslip/server/settings/SettingsReader.java
@@ -1,60 +1,76 @@
 package org.snipeslip.server.settings;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLParser;
+import io.vavr.control.Either;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.URI;
+import java.nio.file.Files;
 import java.nio.file.Path;
-import org.snipeslip.core.call.CallSettings;
-import org.snipeslip.core.id.FailureDomainId;
-import org.snipeslip.core.id.InstanceId;
-import org.snipeslip.core.id.RegionId;
-import org.snipeslip.core.instance.InstanceSettings;
-import org.snipeslip.core.instance.StopSettings;
-import org.snipeslip.core.peer.PeerAddress;
-import org.snipeslip.core.spread.ControlSettings;
+import java.util.ArrayList;
+import java.util.List;
+import org.snipeslip.server.settings.SettingsFault.Rule;
 
 /** Reads the YAML settings of a process. */
 public final class SettingsReader {
-    private static final int DEFAULT_IO_THREADS = 2;
+    private static final long MAX_FILE_BYTES = 1 << 20;
 
-    private final ObjectMapper mapper = new ObjectMapper(new YAMLFactory());
+    private final SettingsSchema schema = new SettingsSchema();
+    private final ObjectMapper mapper =
+            new ObjectMapper(
+                    YAMLFactory.builder()
+                            .enable(YAMLParser.Feature.PARSE_BOOLEAN_LIKE_WORDS_AS_STRINGS)
+                            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                            .build());
 
     /**
-     * Reads a file.
+     * Reads a file. A relative path of the peer key file starts at the folder of the settings file.
      *
      * @param file the file
-     * @param incarnation number that grows with each start
-     * @return the settings
-     * @throws IOException if the file cannot be read
+     * @param incarnation number that grows with each start; also the seed of random choices
+     * @return the settings, or all faults
      */
-    public ProcessSettings read(Path file, long incarnation) throws IOException {
-        JsonNode node = mapper.readTree(file.toFile());
-        InetSocketAddress peer = address(node.path("peerAddress").asText());
-        InstanceSettings instance =
-                new InstanceSettings(
-                        new InstanceId(node.path("instance").asText()),
-                        new FailureDomainId(node.path("failureDomain").asText()),
-                        new RegionId(node.path("region").asText()),
-                        new PeerAddress(peer.getHostString(), peer.getPort()),
-                        incarnation,
-                        CallSettings.DEFAULT,
-                        ControlSettings.DEFAULT,
-                        StopSettings.DEFAULT);
-        return new ProcessSettings(
-                instance,
-                address(node.path("callerAddress").asText()),
-                address(node.path("operatorAddress").asText()),
-                URI.create(node.path("objectApi").asText()),
-                node.path("ioThreads").asInt(DEFAULT_IO_THREADS),
-                incarnation);
+    public Either<List<SettingsFault>, ProcessSettings> read(Path file, long incarnation) {
+        try {
+            if (Files.size(file) > MAX_FILE_BYTES) {
+                return fault(Rule.UNREADABLE, "allowed " + MAX_FILE_BYTES + " bytes");
+            }
+            Path folder = file.toAbsolutePath().getParent();
+            return parse(Files.readString(file), folder, incarnation);
+        } catch (IOException e) {
+            return fault(Rule.UNREADABLE, e.toString());
+        }
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return InetSocketAddress.createUnresolved(
-                text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    /**
+     * Reads a text.
+     *
+     * @param text YAML
+     * @param folder where relative paths start
+     * @param incarnation number that grows with each start; also the seed of random choices
+     * @return the settings, or all faults
+     */
+    public Either<List<SettingsFault>, ProcessSettings> parse(
+            String text, Path folder, long incarnation) {
+        JsonNode node;
+        try {
+            node = mapper.readTree(text);
+        } catch (JsonProcessingException e) {
+            return fault(Rule.SYNTAX, String.valueOf(e.getOriginalMessage()));
+        }
+        List<SettingsFault> faults = new ArrayList<>(schema.check(node));
+        if (!faults.isEmpty()) {
+            return Either.left(List.copyOf(faults));
+        }
+        ProcessSettings settings =
+                new SettingsAssembler(node, folder, schema, faults).assemble(incarnation);
+        return faults.isEmpty() ? Either.right(settings) : Either.left(List.copyOf(faults));
+    }
+
+    private static Either<List<SettingsFault>, ProcessSettings> fault(Rule rule, String detail) {
+        return Either.left(List.of(new SettingsFault("", rule, detail)));
     }
 }
--- a/server/src/test/java/org/snipeslip/server/config/ConfigYamlTest.java
+++ b/server/src/test/java/org/snipeslip/server/config/ConfigYamlTest.java
@@ -110,7 +110,7 @@
                 ---
                 {kind: FailureDomain, name: "1e3", homeRegion: "true", inService: false}
                 ---
-                {kind: Organisation, name: "null", homeRegions: ["true"], weight: 3}
+                {kind: Organisation, name: no, homeRegions: ["true"], weight: 3}
                 ---
                 {kind: Service, name: s, backendServers: [%s, slots: 2}]}
                 ---
