--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -33,7 +33,13 @@
     public Instance(InstanceSettings settings, ConfigCodec codec, long seed) {
         this.calls = new CallEngine(settings.call(), settings.region(), seed);
         this.control = new ControlEngine(settings.control(), codec, seed + 1);
-        this.once = new OnceEngine();
+        this.once =
+                new OnceEngine(
+                        settings.id(),
+                        settings.region(),
+                        settings.incarnation(),
+                        settings.once(),
+                        seed + 2);
     }
 
     /**
--- a/core/src/main/java/org/snipeslip/core/instance/InstanceSettings.java
+++ b/core/src/main/java/org/snipeslip/core/instance/InstanceSettings.java
@@ -4,6 +4,7 @@
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.InstanceId;
 import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.once.OnceSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
 
@@ -17,6 +18,7 @@
  * @param incarnation grows with each start of the process
  * @param call settings of calls
  * @param control settings of membership and configuration
+ * @param once settings of at-most-once claims
  * @param stop settings of the planned stop
  */
 public record InstanceSettings(
@@ -27,4 +29,5 @@
         long incarnation,
         CallSettings call,
         ControlSettings control,
+        OnceSettings once,
         StopSettings stop) {}
--- a/core/src/main/java/org/snipeslip/core/once/KeyDigest.java
+++ b/core/src/main/java/org/snipeslip/core/once/KeyDigest.java
@@ -8,6 +8,8 @@
 
 /** SHA-256 of lists of texts; each text is preceded by its length, so that lists differ. */
 final class KeyDigest {
+    private static final int SHORT_LENGTH = 64;
+
     private KeyDigest() {}
 
     static String of(ClaimRequest claim) {
@@ -26,6 +28,13 @@
         return ByteBuffer.wrap(sha256(texts)).getLong();
     }
 
+    /** Keeps a short text and replaces a long one by its digest, so that records are bounded. */
+    static String shortened(String text) {
+        return text.length() <= SHORT_LENGTH
+                ? text
+                : Base64.getUrlEncoder().withoutPadding().encodeToString(sha256(text));
+    }
+
     private static byte[] sha256(String... texts) {
         MessageDigest sha;
         try {
--- a/server/src/main/java/org/snipeslip/server/settings/SettingsReader.java
+++ b/server/src/main/java/org/snipeslip/server/settings/SettingsReader.java
@@ -13,6 +13,7 @@
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.instance.InstanceSettings;
 import org.snipeslip.core.instance.StopSettings;
+import org.snipeslip.core.once.OnceSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
 
@@ -42,6 +43,7 @@
                         incarnation,
                         CallSettings.DEFAULT,
                         ControlSettings.DEFAULT,
+                        OnceSettings.DEFAULT,
                         StopSettings.DEFAULT);
         return new ProcessSettings(
                 instance,
--- a/standin/src/main/java/org/snipeslip/standin/Demo.java
+++ b/standin/src/main/java/org/snipeslip/standin/Demo.java
@@ -14,6 +14,7 @@
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.instance.InstanceSettings;
 import org.snipeslip.core.instance.StopSettings;
+import org.snipeslip.core.once.OnceSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
 import org.snipeslip.server.config.ConfigJson;
@@ -122,6 +123,7 @@
                         System.currentTimeMillis(),
                         CallSettings.DEFAULT,
                         ControlSettings.DEFAULT,
+                        OnceSettings.DEFAULT,
                         StopSettings.DEFAULT);
         return new ProcessSettings(
                 instance,
