--- a/server/src/main/java/org/snipeslip/server/settings/SettingsAssembler.java
+++ b/server/src/main/java/org/snipeslip/server/settings/SettingsAssembler.java
@@ -16,6 +16,7 @@
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.instance.InstanceSettings;
 import org.snipeslip.core.instance.StopSettings;
+import org.snipeslip.core.once.OnceSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
 import org.snipeslip.server.settings.SettingsFault.Rule;
@@ -69,6 +70,7 @@
                 incarnation,
                 new CallSettings(calls.maxTries(), calls.maxDepth(), limits.queue()),
                 ControlSettings.DEFAULT,
+                OnceSettings.DEFAULT,
                 stop(node.path("stop")));
     }
 
--- a/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
+++ b/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
@@ -13,6 +13,7 @@
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.instance.InstanceSettings;
 import org.snipeslip.core.instance.StopSettings;
+import org.snipeslip.core.once.OnceSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
 import org.snipeslip.server.runtime.EntryProcess;
@@ -162,6 +163,7 @@
                         System.currentTimeMillis(),
                         spec.call(),
                         ControlSettings.DEFAULT,
+                        OnceSettings.DEFAULT,
                         StopSettings.DEFAULT);
         return new ProcessSettings(
                 instance,
