--- a/server/src/main/java/org/snipeslip/server/http/BackendConnections.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendConnections.java
@@ -5,74 +5,181 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
 import java.net.URI;
-import java.util.Deque;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.atomic.LongAdder;
+import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.config.BackendServer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
 
 /**
- * Idle connections to backend servers, kept per I/O thread because a connection and the caller's
- * exchange must share their thread.
+ * Connections to backend servers. Idle ones are kept per I/O thread, because a connection and the
+ * caller's exchange must share their thread; the limit per backend server spans all threads. At the
+ * limit an idle connection of another thread is closed to make room.
  */
-public final class BackendConnections {
-    private static final int MAX_IDLE = 16;
+public final class BackendConnections implements AutoCloseable {
     private static final int MAX_HEADER_BYTES = 64 * 1024;
     private static final OptionMap OPTIONS =
             OptionMap.create(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES);
 
     private final ByteBufferPool buffers;
-    private final ConcurrentHashMap<Key, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+    private final int instances;
+    private final ConcurrentHashMap<String, ServerConnections> byAuthority =
+            new ConcurrentHashMap<>();
+    private final LongAdder openConnections = new LongAdder();
+    private volatile boolean closed;
 
     /**
      * Creates an empty pool.
      *
      * @param buffers buffers of new connections
+     * @param instances configured number of instances, which share the limit of a backend server
      */
-    public BackendConnections(ByteBufferPool buffers) {
+    public BackendConnections(ByteBufferPool buffers, int instances) {
         this.buffers = buffers;
+        this.instances = Math.max(1, instances);
     }
 
-    void take(
-            BackendServer server,
-            XnioIoThread ioThread,
-            ClientCallback<ClientConnection> callback) {
-        Deque<ClientConnection> connections = idle.get(new Key(ioThread, authority(server)));
-        ClientConnection pooled;
-        while (connections != null && (pooled = connections.pollFirst()) != null) {
-            if (pooled.isOpen()) {
-                callback.completed(pooled);
-                return;
-            }
+    /**
+     * Counts the open connections to all backend servers.
+     *
+     * @return connections in use, idle or being opened
+     */
+    public long openConnections() {
+        return openConnections.sum();
+    }
+
+    /**
+     * Closes connections that were idle for a while, and forgets backend servers without any.
+     *
+     * @param idleNanos connections idle for longer are closed
+     */
+    public void closeIdle(long idleNanos) {
+        long beforeNanos = System.nanoTime() - idleNanos;
+        byAuthority.values().forEach(connections -> connections.closeIdleSince(beforeNanos));
+        byAuthority.values().removeIf(ServerConnections::retire);
+    }
+
+    /**
+     * Counts the open connections to one backend server.
+     *
+     * @param server the backend server
+     * @return connections in use, idle or being opened
+     */
+    public int openConnections(BackendServer server) {
+        ServerConnections connections = byAuthority.get(authority(server));
+        return connections == null ? 0 : connections.open();
+    }
+
+    /** Takes an idle connection or opens one; the listener is called on the I/O thread. */
+    void take(BackendServer server, XnioIoThread ioThread, Listener listener) {
+        ServerConnections connections = connectionsOf(server);
+        ClientConnection idle = connections.pollIdle(ioThread);
+        if (idle != null) {
+            listener.connected(idle);
+            return;
+        }
+        if (connections.tryReserve(limit(server))) {
+            connect(server, connections, ioThread, listener);
+            return;
         }
-        UndertowClient.getInstance()
-                .connect(
-                        callback,
-                        URI.create("http://" + authority(server)),
-                        ioThread,
-                        buffers,
-                        OPTIONS);
+        ClientConnection elsewhere = connections.pollAnyIdle();
+        if (elsewhere == null) {
+            listener.failed(TryFailure.NO_CONNECTION_LEFT);
+            return;
+        }
+        elsewhere
+                .getIoThread()
+                .execute(
+                        () -> {
+                            IoUtils.safeClose(elsewhere);
+                            ioThread.execute(() -> retry(server, ioThread, listener));
+                        });
     }
 
+    /** Gives back a connection whose request and response are both complete. */
     void giveBack(BackendServer server, ClientConnection connection) {
-        Deque<ClientConnection> connections =
-                idle.computeIfAbsent(
-                        new Key(connection.getIoThread(), authority(server)),
-                        key -> new ConcurrentLinkedDeque<>());
-        if (connection.isOpen() && connections.size() < MAX_IDLE) {
-            connections.offerFirst(connection);
+        // The pool gets the connection one task later, after the client has read what may follow
+        // the response in the same packet. Such bytes make it close the connection.
+        connection
+                .getIoThread()
+                .execute(
+                        () -> {
+                            if (closed || !connection.isOpen()) {
+                                IoUtils.safeClose(connection);
+                            } else {
+                                connectionsOf(server).offerIdle(connection);
+                            }
+                        });
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        closeIdle(0);
+    }
+
+    private void retry(BackendServer server, XnioIoThread ioThread, Listener listener) {
+        ServerConnections connections = connectionsOf(server);
+        if (connections.tryReserve(limit(server))) {
+            connect(server, connections, ioThread, listener);
         } else {
-            IoUtils.safeClose(connection);
+            listener.failed(TryFailure.NO_CONNECTION_LEFT);
         }
     }
 
+    private int limit(BackendServer server) {
+        return Math.max(1, server.connectionLimit() / instances);
+    }
+
+    private ServerConnections connectionsOf(BackendServer server) {
+        return byAuthority.compute(
+                authority(server),
+                (key, present) ->
+                        present == null || present.isRetired() ? new ServerConnections() : present);
+    }
+
+    private void connect(
+            BackendServer server,
+            ServerConnections connections,
+            XnioIoThread ioThread,
+            Listener listener) {
+        openConnections.increment();
+        ClientCallback<ClientConnection> callback =
+                new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientConnection result) {
+                        result.addCloseListener(closedOne -> release(connections));
+                        listener.connected(result);
+                    }
+
+                    @Override
+                    public void failed(IOException e) {
+                        release(connections);
+                        listener.failed(TryFailure.NOT_CONNECTED);
+                    }
+                };
+        URI uri = URI.create("http://" + authority(server));
+        UndertowClient.getInstance().connect(callback, uri, ioThread, buffers, OPTIONS);
+    }
+
+    private void release(ServerConnections connections) {
+        openConnections.decrement();
+        connections.release();
+    }
+
     static String authority(BackendServer server) {
-        return server.host() + ":" + server.port();
+        String host = server.host();
+        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + server.port();
     }
 
-    /** Thread and address of a group of connections. */
-    private record Key(XnioIoThread ioThread, String authority) {}
+    /** Takes a connection or the reason why there is none. */
+    interface Listener {
+        void connected(ClientConnection connection);
+
+        void failed(TryFailure failure);
+    }
 }
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -3,24 +3,22 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
-import io.undertow.server.HttpServerExchange;
+import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
-import io.undertow.util.Transfer;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.snipeslip.core.call.LoadReport;
 import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
-import org.snipeslip.core.instance.RecordableAnswer;
-import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
-import org.xnio.channels.StreamSinkChannel;
 
-/** One try of a call at one backend server. All methods run on the exchange's I/O thread. */
+/**
+ * One try of a call at one backend server: connection, request and response head. {@link
+ * ResponseRelay} takes over when the response is relayed. All methods run on the exchange's I/O
+ * thread.
+ */
 final class BackendTry {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -31,9 +29,12 @@
     private ClientConnection connection;
     private ClientExchange clientExchange;
     private XnioExecutor.Key timeout;
+    private BodyPump requestPump;
+    private ResponseRelay responseRelay;
+    private boolean requestComplete;
+    private boolean headArrived;
     private boolean ended;
-    private boolean requestSent;
-    private boolean responseRead;
+    private long sentNanos;
 
     BackendTry(Action.SendTry order, CallRelay relay, BackendConnections connections) {
         this.order = order;
@@ -42,29 +43,26 @@
     }
 
     void start() {
-        HttpServerExchange exchange = relay.exchange();
         timeout =
-                exchange.getIoThread()
-                        .executeAfter(
-                                () -> fail(TryFailure.TIMED_OUT, LoadReport.UNKNOWN),
-                                Math.max(1, order.remainingNanos() / NANOS_PER_MILLI),
-                                TimeUnit.MILLISECONDS);
-        connections.take(
-                order.target(),
-                exchange.getIoThread(),
-                new ClientCallback<>() {
-                    @Override
-                    public void completed(ClientConnection result) {
-                        send(result);
-                    }
+                relay.exchange()
+                        .getIoThread()
+                        .executeAfter(this::timeUp, remainingMillis(), TimeUnit.MILLISECONDS);
+        relay.body()
+                .prepare(
+                        new RequestBody.Listener() {
+                            @Override
+                            public void ready() {
+                                connect();
+                            }
 
-                    @Override
-                    public void failed(IOException e) {
-                        fail(TryFailure.NOT_CONNECTED, LoadReport.UNKNOWN);
-                    }
-                });
+                            @Override
+                            public void broken() {
+                                requestBroken();
+                            }
+                        });
     }
 
+    /** Ends the try without an event. */
     void cancel() {
         if (end()) {
             IoUtils.safeClose(connection);
@@ -73,142 +71,169 @@
 
     /** Relays the response, whose head was reported, to the caller. */
     void relayAnswer() {
-        HttpServerExchange exchange = relay.exchange();
-        HeaderMap from = clientExchange.getResponse().getResponseHeaders();
-        exchange.setStatusCode(clientExchange.getResponse().getResponseCode());
-        HopByHop.copyEndToEnd(from, exchange.getResponseHeaders());
-        exchange.getResponseHeaders().remove(SnipeslipHeaders.LOAD);
-        exchange.getResponseHeaders()
-                .put(SnipeslipHeaders.REQUEST_ID, order.tryId().request().value());
-        exchange.addExchangeCompleteListener(
-                (done, next) -> {
-                    completed();
-                    next.proceed();
-                });
-        Transfer.initiateTransfer(
-                clientExchange.getResponseChannel(),
-                exchange.getResponseChannel(),
-                source -> responseRead = true,
-                this::finishResponse,
-                (channel, e) -> broken(),
-                (channel, e) -> broken(),
-                exchange.getConnection().getByteBufferPool());
+        if (ended || !headArrived || responseRelay != null) {
+            return;
+        }
+        responseRelay = new ResponseRelay(this, relay, order.keepAnswer());
+        responseRelay.start();
     }
 
-    private void finishResponse(StreamSinkChannel sink) {
-        responseRead = true;
-        flushAndEnd(sink, this::broken);
+    Action.SendTry order() {
+        return order;
     }
 
-    private void send(ClientConnection open) {
+    ClientExchange clientExchange() {
+        return clientExchange;
+    }
+
+    boolean isRequestComplete() {
+        return requestComplete;
+    }
+
+    long sentNanos() {
+        return sentNanos;
+    }
+
+    /**
+     * Ends the try after the whole response was relayed.
+     *
+     * @param reusable whether the response left nothing unread on the connection
+     */
+    boolean endComplete(boolean reusable) {
+        if (!end()) {
+            return false;
+        }
+        if (reusable && requestComplete) {
+            connections.giveBack(order.target(), connection);
+        } else {
+            IoUtils.safeClose(connection);
+        }
+        return true;
+    }
+
+    /** Ends the try after its response broke off; false if it had ended before. */
+    boolean endBroken() {
+        if (!end()) {
+            return false;
+        }
+        IoUtils.safeClose(connection);
+        return true;
+    }
+
+    private void timeUp() {
+        if (responseRelay != null) {
+            responseRelay.broken();
+        } else {
+            fail(TryFailure.TIMED_OUT, LoadReport.UNKNOWN);
+        }
+    }
+
+    private void connect() {
         if (ended) {
-            connections.giveBack(order.target(), open);
             return;
         }
-        connection = open;
-        requestSent = true;
-        open.sendRequest(
-                request(),
-                new ClientCallback<>() {
+        connections.take(
+                order.target(),
+                relay.exchange().getIoThread(),
+                new BackendConnections.Listener() {
                     @Override
-                    public void completed(ClientExchange result) {
-                        clientExchange = result;
-                        result.setResponseListener(responseListener());
-                        sendBody();
+                    public void connected(ClientConnection open) {
+                        send(open);
                     }
 
                     @Override
-                    public void failed(IOException e) {
-                        fail(TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN);
+                    public void failed(TryFailure failure) {
+                        fail(failure, LoadReport.UNKNOWN);
                     }
                 });
     }
 
-    private ClientRequest request() {
-        HttpServerExchange exchange = relay.exchange();
-        ClientRequest request = new ClientRequest();
-        request.setMethod(exchange.getRequestMethod());
-        String query = exchange.getQueryString();
-        request.setPath(exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query));
-        HeaderMap headers = request.getRequestHeaders();
-        HopByHop.copyEndToEnd(exchange.getRequestHeaders(), headers);
-        if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
-            headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+    private void send(ClientConnection open) {
+        if (ended) {
+            connections.giveBack(order.target(), open);
+            return;
         }
-        headers.put(
-                SnipeslipHeaders.DEADLINE_MILLIS,
-                Math.max(1, order.remainingNanos() / NANOS_PER_MILLI));
-        headers.put(SnipeslipHeaders.DEPTH, relay.depth() + 1);
-        headers.put(SnipeslipHeaders.RETRIES_LEFT, order.retriesLeft());
-        headers.put(SnipeslipHeaders.REQUEST_ID, order.tryId().request().value());
-        return request;
+        connection = open;
+        sentNanos = System.nanoTime();
+        open.sendRequest(
+                RequestHeads.of(relay, order, remainingMillis()),
+                callback(
+                        result -> {
+                            clientExchange = result;
+                            result.setResponseListener(callback(this::headArrived));
+                            sendBody();
+                        }));
     }
 
     private void sendBody() {
-        HttpServerExchange exchange = relay.exchange();
-        if (exchange.isRequestComplete()) {
+        if (!relay.body().isPresent()) {
+            requestComplete = true;
+            relay.requestRead();
             return;
         }
-        Transfer.initiateTransfer(
-                exchange.getRequestChannel(),
-                clientExchange.getRequestChannel(),
-                source -> {},
-                sink ->
-                        flushAndEnd(
-                                sink,
-                                () -> fail(TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN)),
-                (channel, e) -> fail(TryFailure.REQUEST_BODY_BROKEN, LoadReport.UNKNOWN),
-                (channel, e) -> fail(TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN),
-                exchange.getConnection().getByteBufferPool());
-    }
+        requestPump =
+                relay.body()
+                        .pump(
+                                clientExchange.getRequestChannel(),
+                                new BodyPump.Listener() {
+                                    @Override
+                                    public void sourceEnded() {
+                                        relay.requestRead();
+                                    }
 
-    private ClientCallback<ClientExchange> responseListener() {
-        return new ClientCallback<>() {
-            @Override
-            public void completed(ClientExchange result) {
-                headArrived(result);
-            }
+                                    @Override
+                                    public void completed() {
+                                        requestComplete = true;
+                                    }
 
-            @Override
-            public void failed(IOException e) {
-                fail(TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN);
-            }
-        };
+                                    @Override
+                                    public void sourceFailed(IOException e) {
+                                        relay.body().noteBroken(e);
+                                        requestBroken();
+                                    }
+
+                                    @Override
+                                    public void sinkFailed(IOException e) {
+                                        // A backend server may answer and stop reading; once its
+                                        // head arrived, the response decides.
+                                        if (!headArrived) {
+                                            fail(TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN);
+                                        }
+                                    }
+                                });
+        requestPump.start();
+    }
+
+    private void requestBroken() {
+        if (responseRelay != null) {
+            responseRelay.broken();
+        } else if (!ended && relay.body().fault() == null) {
+            relay.callerGone();
+        } else {
+            fail(TryFailure.REQUEST_BODY_BROKEN, LoadReport.UNKNOWN);
+        }
     }
 
     private void headArrived(ClientExchange result) {
         if (ended) {
             return;
         }
-        HeaderMap headers = result.getResponse().getResponseHeaders();
+        ClientResponse response = result.getResponse();
+        if (!ResponseCheck.isWellFramed(response)) {
+            fail(TryFailure.MALFORMED, LoadReport.UNKNOWN);
+            return;
+        }
+        HeaderMap headers = response.getResponseHeaders();
         LoadReport load = LoadHeader.parse(headers.getFirst(SnipeslipHeaders.LOAD));
-        int status = result.getResponse().getResponseCode();
+        int status = response.getResponseCode();
         if (status == SERVICE_UNAVAILABLE && headers.contains(SnipeslipHeaders.NOT_RUN)) {
             fail(TryFailure.REFUSED_NOT_RUN, load);
             return;
         }
+        headArrived = true;
         relay.report(new Event.TryAnswered(order.tryId(), status, load));
     }
 
-    private void completed() {
-        if (!responseRead) {
-            broken();
-        } else if (end()) {
-            connections.giveBack(order.target(), connection);
-            relay.finished(new Event.TryCompleted(order.tryId(), RecordableAnswer.NONE));
-        }
-    }
-
-    /** Closes the caller's connection, so that a cut response is seen as broken. */
-    private void broken() {
-        if (end()) {
-            IoUtils.safeClose(connection);
-            IoUtils.safeClose(relay.exchange().getConnection());
-            relay.finished(
-                    new Event.TryFailed(order.tryId(), TryFailure.BROKEN_BODY, LoadReport.UNKNOWN));
-        }
-    }
-
     private void fail(TryFailure failure, LoadReport load) {
         if (end()) {
             IoUtils.safeClose(connection);
@@ -222,22 +247,31 @@
         }
         ended = true;
         timeout.remove();
+        if (requestPump != null) {
+            requestPump.stop();
+        }
+        if (responseRelay != null) {
+            responseRelay.stop();
+        }
         return true;
     }
 
-    private static void flushAndEnd(StreamSinkChannel sink, Runnable onFailure) {
-        try {
-            sink.shutdownWrites();
-            if (!sink.flush()) {
-                ChannelListener<StreamSinkChannel> whenFlushed = channel -> channel.suspendWrites();
-                sink.getWriteSetter()
-                        .set(
-                                org.xnio.ChannelListeners.flushingChannelListener(
-                                        whenFlushed, (channel, e) -> onFailure.run()));
-                sink.resumeWrites();
+    private long remainingMillis() {
+        return Math.max(1, order.remainingNanos() / NANOS_PER_MILLI);
+    }
+
+    private ClientCallback<ClientExchange> callback(
+            java.util.function.Consumer<ClientExchange> onCompleted) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange result) {
+                onCompleted.accept(result);
             }
-        } catch (IOException e) {
-            onFailure.run();
-        }
+
+            @Override
+            public void failed(IOException e) {
+                fail(TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN);
+            }
+        };
     }
 }
--- a/server/src/main/java/org/snipeslip/server/http/CallHandler.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHandler.java
@@ -2,83 +2,94 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.HttpString;
-import java.util.Locale;
+import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
 import java.util.concurrent.atomic.AtomicLong;
 import org.snipeslip.core.call.CallHead;
-import org.snipeslip.core.id.IdempotencyKey;
-import org.snipeslip.core.id.OrganisationId;
+import org.snipeslip.core.call.Outcome;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.instance.Event;
-import org.snipeslip.server.runtime.InstanceRuntime;
+import org.snipeslip.server.operator.CallResult;
+import org.snipeslip.server.operator.ServerMetrics;
 
 /** Turns each request on the caller port into a call of the state machine. */
 public final class CallHandler implements HttpHandler {
-    private static final long NANOS_PER_MILLI = 1_000_000;
+    /** Sends 100 Continue when the first byte of a body is wanted, and never before a refusal. */
+    private final HttpHandler continueHandler = new HttpContinueReadHandler(this::handle);
 
-    private final InstanceRuntime runtime;
-    private final BackendConnections connections;
+    private final CallShell shell;
+    private final CallerConnections callers;
+    private final CallLimits limits;
+    private final RequestCheck check;
+    private final KeptBodies keptBodies;
     private final String requestIdPrefix;
     private final AtomicLong nextRequest = new AtomicLong();
 
     /**
      * Creates a handler.
      *
-     * @param runtime takes the calls
+     * @param events takes the calls
      * @param connections connections to backend servers
+     * @param callers connections of callers
+     * @param metrics counts calls
+     * @param limits bounds on requests
      * @param requestIdPrefix makes request ids unique across instances and restarts
      */
     public CallHandler(
-            InstanceRuntime runtime, BackendConnections connections, String requestIdPrefix) {
-        this.runtime = runtime;
-        this.connections = connections;
-        this.requestIdPrefix = requestIdPrefix;
+            CallEvents events,
+            BackendConnections connections,
+            CallerConnections callers,
+            ServerMetrics metrics,
+            CallLimits limits,
+            String requestIdPrefix) {
+        this.shell = new CallShell(events, connections, metrics, callers);
+        this.callers = callers;
+        this.limits = limits;
+        this.check = new RequestCheck(limits);
+        this.keptBodies = new KeptBodies(limits);
+        this.requestIdPrefix = requestIdPrefix + "-";
     }
 
     @Override
-    public void handleRequest(HttpServerExchange exchange) {
-        RequestId request =
-                new RequestId(
-                        requestIdPrefix
-                                + "-"
-                                + Long.toString(
-                                        nextRequest.incrementAndGet(), Character.MAX_RADIX));
-        CallHead head = head(exchange);
-        CallRelay relay = new CallRelay(request, exchange, head.depth(), runtime, connections);
-        exchange.dispatch(
-                io.undertow.util.SameThreadExecutor.INSTANCE,
-                () -> runtime.begin(request, relay, new Event.CallArrived(request, head)));
+    public void handleRequest(HttpServerExchange exchange) throws Exception {
+        continueHandler.handleRequest(exchange);
     }
 
-    private static CallHead head(HttpServerExchange exchange) {
-        HeaderMap headers = exchange.getRequestHeaders();
-        String organisation = headers.getFirst(SnipeslipHeaders.ORGANISATION);
-        String key = headers.getFirst(SnipeslipHeaders.IDEMPOTENCY_KEY);
-        return new CallHead(
-                exchange.getRequestMethod().toString(),
-                exchange.getHostName().toLowerCase(Locale.ROOT),
-                exchange.getRequestURI(),
-                organisation == null || organisation.isBlank()
-                        ? null
-                        : new OrganisationId(organisation),
-                key == null || key.isBlank() ? null : new IdempotencyKey(key),
-                exchange.getRequestMethod() + " " + exchange.getRequestURI(),
-                Math.max(0, number(headers, SnipeslipHeaders.DEADLINE_MILLIS, 0)) * NANOS_PER_MILLI,
-                (int) number(headers, SnipeslipHeaders.DEPTH, 0),
-                (int) number(headers, SnipeslipHeaders.RETRIES_LEFT, -1),
-                exchange.isRequestComplete());
+    private void handle(HttpServerExchange exchange) {
+        CallerConnections.State caller = callers.begin(exchange);
+        RequestId request = nextRequestId();
+        RequestFault fault = check.check(exchange);
+        if (fault == null) {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> begin(exchange, request, caller));
+        } else {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> refuse(exchange, request, fault));
+        }
     }
 
-    private static long number(HeaderMap headers, HttpString name, long absent) {
-        String value = headers.getFirst(name);
-        if (value == null) {
-            return absent;
-        }
-        try {
-            return Integer.parseInt(value.trim());
-        } catch (NumberFormatException e) {
-            return absent;
+    private void begin(
+            HttpServerExchange exchange, RequestId request, CallerConnections.State caller) {
+        if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+            exchange.setMaxEntitySize(limits.maxBodyBytes());
         }
+        RequestBody body = new RequestBody(exchange, keptBodies);
+        CallHead head = CallHeads.of(exchange, body.isReplayable());
+        CallRelay relay = new CallRelay(request, exchange, head.depth(), body, shell);
+        shell.metrics().arrived();
+        relay.begin(caller);
+        shell.events().begin(request, relay, new Event.CallArrived(request, head));
+    }
+
+    private void refuse(HttpServerExchange exchange, RequestId request, RequestFault fault) {
+        shell.metrics().arrived();
+        shell.metrics().ended(CallResult.REFUSED);
+        shell.metrics().refused(fault.text());
+        shell.finishHead(exchange, request, false);
+        ProblemJson.send(exchange, request, fault, Outcome.NOT_RUN);
+    }
+
+    private RequestId nextRequestId() {
+        long number = nextRequest.incrementAndGet();
+        return new RequestId(requestIdPrefix + Long.toString(number, Character.MAX_RADIX));
     }
 }
--- a/server/src/main/java/org/snipeslip/server/http/CallRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallRelay.java
@@ -1,34 +1,45 @@
 package org.snipeslip.server.http;
 
 import io.undertow.server.HttpServerExchange;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import org.snipeslip.core.call.Refusal;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
-import org.snipeslip.server.runtime.InstanceRuntime;
+import org.snipeslip.core.instance.RecordableAnswer;
+import org.snipeslip.server.operator.CallResult;
 
-/** Carries the actions of one call on the I/O thread of its exchange. */
+/**
+ * Carries the actions of one call on the I/O thread of its exchange. The call ends once: with a
+ * relayed, replayed or refused answer, a broken response, or the caller's leaving. Actions that
+ * come later, or name an unknown try, have no effect.
+ */
 public final class CallRelay {
     private final RequestId request;
     private final HttpServerExchange exchange;
     private final int depth;
-    private final InstanceRuntime runtime;
-    private final BackendConnections connections;
+    private final RequestBody body;
+    private final CallShell shell;
+    private final long arrivedNanos = System.nanoTime();
     private final Map<TryId, BackendTry> tries = new HashMap<>(2);
+    private boolean requestRead;
+    private boolean ended;
 
     CallRelay(
             RequestId request,
             HttpServerExchange exchange,
             int depth,
-            InstanceRuntime runtime,
-            BackendConnections connections) {
+            RequestBody body,
+            CallShell shell) {
         this.request = request;
         this.exchange = exchange;
         this.depth = depth;
-        this.runtime = runtime;
-        this.connections = connections;
+        this.body = body;
+        this.shell = shell;
     }
 
     /**
@@ -46,35 +57,145 @@
 
     private void carryOutHere(Action action) {
         switch (action) {
-            case Action.SendTry order -> {
-                BackendTry backendTry = new BackendTry(order, this, connections);
-                tries.put(order.tryId(), backendTry);
-                backendTry.start();
-            }
-            case Action.CancelTry cancel -> tries.get(cancel.tryId()).cancel();
-            case Action.RelayAnswer relay -> tries.get(relay.tryId()).relayAnswer();
-            case Action.RefuseCaller refuse -> {
-                runtime.forget(request);
-                ProblemJson.send(exchange, request, refuse.refusal());
-            }
+            case Action.SendTry order -> startTry(order);
+            case Action.CancelTry cancel -> cancelTry(cancel.tryId());
+            case Action.RelayAnswer answer -> relayAnswer(answer.tryId());
+            case Action.RefuseCaller refuse -> refuse(refuse.refusal());
+            case Action.ReplayAnswer replay -> replay(replay.answer());
             default -> throw new IllegalArgumentException(action.getClass().getSimpleName());
         }
     }
 
+    /** Begins to notice when the caller leaves. */
+    void begin(CallerConnections.State caller) {
+        caller.onClosed(this::callerGone);
+        if (!body.isPresent()) {
+            requestRead();
+        }
+    }
+
     HttpServerExchange exchange() {
         return exchange;
     }
 
+    RequestBody body() {
+        return body;
+    }
+
     int depth() {
         return depth;
     }
 
     void report(Event event) {
-        runtime.handle(event);
+        shell.events().handle(event);
+    }
+
+    /** The request was read whole; from now on the connection is watched for its end. */
+    void requestRead() {
+        if (!requestRead && !ended) {
+            requestRead = true;
+            CallerWatch.start(exchange, this::callerGone);
+        }
+    }
+
+    /** Completes the head of a response that is about to be sent. */
+    void finishHead(boolean requestSent) {
+        shell.finishHead(exchange, request, requestRead && requestSent);
+    }
+
+    /** The caller has its whole answer. */
+    void completed(Event.TryCompleted event, long backendNanos) {
+        if (end(CallResult.RELAYED)) {
+            shell.metrics().completed(System.nanoTime() - arrivedNanos, backendNanos);
+            Responses.closeIfUnread(exchange);
+            report(event);
+            cancelAll();
+        }
+    }
+
+    /** The response broke off: the caller's connection closes without a clean end. */
+    void broken(Event.TryFailed event) {
+        if (end(CallResult.BROKEN)) {
+            Responses.abort(exchange);
+            report(event);
+            cancelAll();
+        }
+    }
+
+    /** The caller closed its connection, or it broke. */
+    void callerGone() {
+        if (end(CallResult.CALLER_GONE)) {
+            Responses.abort(exchange);
+            report(new Event.CallerGone(request));
+            cancelAll();
+        }
+    }
+
+    private void startTry(Action.SendTry order) {
+        if (ended || tries.containsKey(order.tryId())) {
+            return;
+        }
+        BackendTry backendTry = new BackendTry(order, this, shell.connections());
+        tries.put(order.tryId(), backendTry);
+        shell.metrics().tryStarted();
+        backendTry.start();
+    }
+
+    private void cancelTry(TryId tryId) {
+        BackendTry backendTry = tries.get(tryId);
+        if (backendTry != null) {
+            backendTry.cancel();
+        }
+    }
+
+    private void relayAnswer(TryId tryId) {
+        BackendTry backendTry = tries.get(tryId);
+        if (backendTry != null && !ended && !exchange.isResponseStarted()) {
+            backendTry.relayAnswer();
+        }
+    }
+
+    private void refuse(Refusal refusal) {
+        boolean started = exchange.isResponseStarted();
+        if (!end(CallResult.REFUSED)) {
+            return;
+        }
+        cancelAll();
+        if (started) {
+            Responses.abort(exchange);
+        } else if (body.fault() != null) {
+            shell.metrics().refused(body.fault().text());
+            finishHead(false);
+            ProblemJson.send(exchange, request, body.fault(), refusal.outcome());
+        } else {
+            shell.metrics().refused(refusal.reason().text());
+            finishHead(true);
+            ProblemJson.send(exchange, request, refusal);
+        }
+    }
+
+    private void replay(RecordableAnswer answer) {
+        if (exchange.isResponseStarted() || !end(CallResult.REPLAYED)) {
+            return;
+        }
+        cancelAll();
+        finishHead(true);
+        Responses.replay(exchange, answer);
+    }
+
+    private boolean end(CallResult result) {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        body.release();
+        shell.events().forget(request);
+        shell.metrics().ended(result);
+        return true;
     }
 
-    void finished(Event event) {
-        runtime.forget(request);
-        runtime.handle(event);
+    private void cancelAll() {
+        List<BackendTry> open = new ArrayList<>(tries.values());
+        open.forEach(BackendTry::cancel);
     }
 }
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/CallShell.java
@@ -0,0 +1,46 @@
+package org.snipeslip.server.http;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import org.snipeslip.core.id.RequestId;
+import org.snipeslip.server.operator.ServerMetrics;
+
+/** What all calls of a process share. */
+final class CallShell {
+    private final CallEvents events;
+    private final BackendConnections connections;
+    private final ServerMetrics metrics;
+    private final CallerConnections callers;
+
+    CallShell(
+            CallEvents events,
+            BackendConnections connections,
+            ServerMetrics metrics,
+            CallerConnections callers) {
+        this.events = events;
+        this.connections = connections;
+        this.metrics = metrics;
+        this.callers = callers;
+    }
+
+    CallEvents events() {
+        return events;
+    }
+
+    BackendConnections connections() {
+        return connections;
+    }
+
+    ServerMetrics metrics() {
+        return metrics;
+    }
+
+    /** Names the request, and announces the end of the connection where it must not go on. */
+    void finishHead(HttpServerExchange exchange, RequestId request, boolean requestRead) {
+        exchange.getResponseHeaders().put(SnipeslipHeaders.REQUEST_ID, request.value());
+        if (!requestRead || callers.isLeaving()) {
+            exchange.setPersistent(false);
+            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/RequestCheck.java
@@ -0,0 +1,163 @@
+package org.snipeslip.server.http;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.Protocols;
+import java.util.List;
+
+/**
+ * Refuses requests whose framing, host or target two HTTP parsers could read differently (request
+ * smuggling, RFC 9112 section 11.2), and requests above the size limits.
+ */
+final class RequestCheck {
+    private static final int LINE_OVERHEAD_BYTES = 4;
+    private static final int MAX_LENGTH_DIGITS = 18;
+    private static final List<HttpString> NUMBERS =
+            List.of(
+                    SnipeslipHeaders.DEADLINE_MILLIS,
+                    SnipeslipHeaders.DEPTH,
+                    SnipeslipHeaders.RETRIES_LEFT);
+
+    private final CallLimits limits;
+
+    RequestCheck(CallLimits limits) {
+        this.limits = limits;
+    }
+
+    /** Returns the first fault of the request, or null. */
+    RequestFault check(HttpServerExchange exchange) {
+        RequestFault fault = checkSizes(exchange);
+        if (fault == null) {
+            fault = checkFraming(exchange.getRequestHeaders());
+        }
+        if (fault == null) {
+            fault = checkTarget(exchange);
+        }
+        return fault == null ? checkFields(exchange.getRequestHeaders()) : fault;
+    }
+
+    private RequestFault checkSizes(HttpServerExchange exchange) {
+        int uriBytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
+        if (uriBytes > limits.maxUriBytes()) {
+            return RequestFault.URI_TOO_LONG;
+        }
+        long bytes = 0;
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            int nameBytes = values.getHeaderName().length() + LINE_OVERHEAD_BYTES;
+            for (int i = 0; i < values.size(); i++) {
+                bytes += nameBytes + values.get(i).length();
+            }
+        }
+        return bytes > limits.maxHeaderBytes() ? RequestFault.HEADERS_TOO_LARGE : null;
+    }
+
+    private RequestFault checkFraming(HeaderMap headers) {
+        HeaderValues codings = headers.get(Headers.TRANSFER_ENCODING);
+        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
+        if (codings != null && lengths != null) {
+            return RequestFault.AMBIGUOUS_FRAMING;
+        }
+        if (codings != null) {
+            boolean chunked = codings.size() == 1 && "chunked".equalsIgnoreCase(codings.get(0));
+            return chunked ? null : RequestFault.INVALID_TRANSFER_CODING;
+        }
+        if (lengths == null) {
+            return null;
+        }
+        if (lengths.size() > 1) {
+            return RequestFault.AMBIGUOUS_FRAMING;
+        }
+        if (!isPlainNumber(lengths.get(0))) {
+            return RequestFault.INVALID_CONTENT_LENGTH;
+        }
+        return Long.parseLong(lengths.get(0)) > limits.maxBodyBytes()
+                ? RequestFault.BODY_TOO_LARGE
+                : null;
+    }
+
+    private static boolean isPlainNumber(String text) {
+        if (text.isEmpty() || text.length() > MAX_LENGTH_DIGITS) {
+            return false;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static RequestFault checkTarget(HttpServerExchange exchange) {
+        if (exchange.getRequestMethod().equals(Methods.CONNECT)) {
+            return RequestFault.METHOD_NOT_OFFERED;
+        }
+        HeaderValues hosts = exchange.getRequestHeaders().get(Headers.HOST);
+        if (hosts == null) {
+            return exchange.getProtocol().equals(Protocols.HTTP_1_0)
+                    ? null
+                    : RequestFault.INVALID_HOST;
+        }
+        if (hosts.size() > 1 || !isHost(hosts.get(0))) {
+            return RequestFault.INVALID_HOST;
+        }
+        return RequestTarget.isValid(exchange) ? null : RequestFault.INVALID_TARGET;
+    }
+
+    private static boolean isHost(String host) {
+        if (host.isEmpty()) {
+            return false;
+        }
+        for (int i = 0; i < host.length(); i++) {
+            char c = host.charAt(i);
+            boolean allowed =
+                    c >= '0' && c <= '9'
+                            || c >= 'a' && c <= 'z'
+                            || c >= 'A' && c <= 'Z'
+                            || ".-_:[]".indexOf(c) >= 0;
+            if (!allowed) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static RequestFault checkFields(HeaderMap headers) {
+        for (HttpString name : NUMBERS) {
+            HeaderValues values = headers.get(name);
+            if (values != null && (values.size() > 1 || !isInt(values.get(0)))) {
+                return RequestFault.INVALID_NUMBER;
+            }
+        }
+        HeaderValues expect = headers.get(Headers.EXPECT);
+        if (expect != null
+                && (expect.size() > 1 || !"100-continue".equalsIgnoreCase(expect.get(0)))) {
+            return RequestFault.EXPECTATION_FAILED;
+        }
+        for (HeaderValues values : headers) {
+            for (int i = 0; i < values.size(); i++) {
+                if (holdsControl(values.get(i))) {
+                    return RequestFault.INVALID_HEADER;
+                }
+            }
+        }
+        return null;
+    }
+
+    private static boolean isInt(String text) {
+        return isPlainNumber(text) && Long.parseLong(text) <= Integer.MAX_VALUE;
+    }
+
+    private static boolean holdsControl(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c < ' ' && c != '\t' || c == 0x7f) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/RequestHeads.java
@@ -0,0 +1,52 @@
+package org.snipeslip.server.http;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import org.snipeslip.core.instance.Action;
+
+/** Builds the head of the request to a backend server from the caller's. */
+final class RequestHeads {
+    private static final HttpString FORWARDED_FOR = new HttpString("X-Forwarded-For");
+    private static final HttpString FORWARDED = new HttpString("Forwarded");
+
+    private RequestHeads() {}
+
+    static ClientRequest of(CallRelay relay, Action.SendTry order, long remainingMillis) {
+        HttpServerExchange exchange = relay.exchange();
+        ClientRequest request = new ClientRequest();
+        request.setMethod(exchange.getRequestMethod());
+        request.setPath(RequestTarget.pathAndQuery(exchange));
+        HeaderMap headers = request.getRequestHeaders();
+        HopByHop.copyEndToEnd(exchange.getRequestHeaders(), headers);
+        headers.remove(Headers.EXPECT);
+        if (!headers.contains(Headers.HOST)) {
+            headers.put(Headers.HOST, BackendConnections.authority(order.target()));
+        }
+        if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+            headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
+        appendSender(exchange, headers);
+        headers.put(SnipeslipHeaders.DEADLINE_MILLIS, remainingMillis);
+        headers.put(SnipeslipHeaders.DEPTH, relay.depth() + 1);
+        headers.put(SnipeslipHeaders.RETRIES_LEFT, order.retriesLeft());
+        headers.put(SnipeslipHeaders.REQUEST_ID, order.tryId().request().value());
+        return request;
+    }
+
+    /** A further field line of a list header means the same as an appended element. */
+    private static void appendSender(HttpServerExchange exchange, HeaderMap headers) {
+        InetSocketAddress peer = exchange.getSourceAddress();
+        InetAddress address = peer == null ? null : peer.getAddress();
+        if (address == null) {
+            return;
+        }
+        String text = address.getHostAddress();
+        headers.add(FORWARDED_FOR, text);
+        headers.add(FORWARDED, text.indexOf(':') < 0 ? "for=" + text : "for=\"[" + text + "]\"");
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseCheck.java
@@ -0,0 +1,41 @@
+package org.snipeslip.server.http;
+
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+
+/** Refuses responses whose end two HTTP parsers could place differently. */
+final class ResponseCheck {
+    private static final int MIN_STATUS = 200;
+    private static final int MAX_STATUS = 599;
+
+    private ResponseCheck() {}
+
+    /** Tells whether the response is final and framed in one way only. */
+    static boolean isWellFramed(ClientResponse response) {
+        int status = response.getResponseCode();
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            return false;
+        }
+        HeaderMap headers = response.getResponseHeaders();
+        HeaderValues codings = headers.get(Headers.TRANSFER_ENCODING);
+        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
+        if (codings != null) {
+            return lengths == null
+                    && codings.size() == 1
+                    && "chunked".equalsIgnoreCase(codings.get(0));
+        }
+        return lengths == null || lengths.size() == 1 && isNumber(lengths.get(0));
+    }
+
+    /** Tells whether the status forbids a body, whatever the header fields say. */
+    static boolean isBodiless(int status) {
+        return status == StatusCodes.NO_CONTENT || status == StatusCodes.NOT_MODIFIED;
+    }
+
+    private static boolean isNumber(String text) {
+        return !text.isEmpty() && text.chars().allMatch(c -> c >= '0' && c <= '9');
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/ServerConnections.java
@@ -0,0 +1,89 @@
+package org.snipeslip.server.http;
+
+import io.undertow.client.ClientConnection;
+import java.util.Deque;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
+
+/** Connections to one backend server: the number open and the idle ones of each I/O thread. */
+final class ServerConnections {
+    /** Far above any limit, so that a retired entry gives no reservation. */
+    private static final int RETIRED = Integer.MAX_VALUE / 2;
+
+    private final AtomicInteger open = new AtomicInteger();
+    private final ConcurrentHashMap<XnioIoThread, Deque<Idle>> idleByThread =
+            new ConcurrentHashMap<>();
+
+    boolean tryReserve(int limit) {
+        if (open.incrementAndGet() <= limit) {
+            return true;
+        }
+        open.decrementAndGet();
+        return false;
+    }
+
+    void release() {
+        open.decrementAndGet();
+    }
+
+    int open() {
+        return isRetired() ? 0 : open.get();
+    }
+
+    /** Ends the use of this entry if no connection is left; it then gives no reservation. */
+    boolean retire() {
+        return open.compareAndSet(0, RETIRED);
+    }
+
+    boolean isRetired() {
+        return open.get() >= RETIRED / 2;
+    }
+
+    void offerIdle(ClientConnection connection) {
+        idleByThread
+                .computeIfAbsent(connection.getIoThread(), key -> new ConcurrentLinkedDeque<>())
+                .offerFirst(new Idle(connection, System.nanoTime()));
+    }
+
+    ClientConnection pollIdle(XnioIoThread ioThread) {
+        Deque<Idle> idle = idleByThread.get(ioThread);
+        Idle candidate;
+        while (idle != null && (candidate = idle.pollFirst()) != null) {
+            if (candidate.connection.isOpen()) {
+                return candidate.connection;
+            }
+        }
+        return null;
+    }
+
+    ClientConnection pollAnyIdle() {
+        for (XnioIoThread ioThread : idleByThread.keySet()) {
+            ClientConnection connection = pollIdle(ioThread);
+            if (connection != null) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    void closeIdleSince(long beforeNanos) {
+        for (Deque<Idle> idle : idleByThread.values()) {
+            Idle oldest;
+            while ((oldest = idle.peekLast()) != null && oldest.sinceNanos - beforeNanos <= 0) {
+                if (idle.removeLastOccurrence(oldest)) {
+                    closeOnItsThread(oldest.connection);
+                }
+            }
+        }
+    }
+
+    private static void closeOnItsThread(ClientConnection connection) {
+        connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+    }
+
+    /** An idle connection and when it became idle. */
+    private record Idle(ClientConnection connection, long sinceNanos) {}
+}
--- a/server/src/main/java/org/snipeslip/server/http/SnipeslipHeaders.java
+++ b/server/src/main/java/org/snipeslip/server/http/SnipeslipHeaders.java
@@ -28,5 +28,8 @@
     /** The caller's idempotency key. */
     public static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
 
+    /** Marks a recorded answer: "1" with its whole body, "0" if the body was not kept. */
+    public static final HttpString REPLAYED = new HttpString("Snipeslip-Replayed");
+
     private SnipeslipHeaders() {}
 }
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/log/package-info.java
@@ -0,0 +1,2 @@
+/** The decision log: JSON lines written off the request threads, and recent decisions. */
+package org.snipeslip.server.log;
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operator port: health, metrics, tables and explanations. */
+package org.snipeslip.server.operator;
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -4,19 +4,27 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
-import io.undertow.server.HttpServerExchange;
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snipeslip.core.call.DecisionRecord;
+import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Instance;
 import org.snipeslip.server.config.ConfigJson;
 import org.snipeslip.server.http.BackendConnections;
 import org.snipeslip.server.http.CallHandler;
+import org.snipeslip.server.http.CallLimits;
+import org.snipeslip.server.http.CallerConnections;
 import org.snipeslip.server.http.HttpMessageClient;
+import org.snipeslip.server.log.DecisionLog;
+import org.snipeslip.server.log.RecentDecisions;
+import org.snipeslip.server.operator.OperatorHandler;
+import org.snipeslip.server.operator.ServerMetrics;
 import org.snipeslip.server.settings.ProcessSettings;
 import org.snipeslip.server.store.ObjectApiClient;
 import org.xnio.OptionMap;
@@ -29,87 +37,168 @@
     private static final Logger LOG = LoggerFactory.getLogger(EntryProcess.class);
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int POOLED_BUFFERS = 1_000;
+    private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long IDLE_SWEEP_MILLIS = 10_000;
+    private static final int PARSE_TIMEOUT_MILLIS = 10_000;
+    private static final int NO_REQUEST_TIMEOUT_MILLIS = 75_000;
+    private static final long WORKER_STOP_SECONDS = 2;
 
     private final XnioWorker worker;
-    private final ScheduledExecutorService timers;
+    private final Timers timers = new Timers();
     private final ByteBufferPool buffers;
+    private final BackendConnections connections;
+    private final CallerConnections callers = new CallerConnections();
+    private final ServerMetrics metrics = new ServerMetrics();
+    private final RecentDecisions recent = new RecentDecisions();
+    private final DecisionLog decisionLog;
+    private final Instance instance;
+    private final InstanceRuntime runtime;
     private final Undertow callerServer;
     private final Undertow operatorServer;
-    private final Instance instance;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    /**
+     * Starts an instance with the default shells.
+     *
+     * @param settings settings of the process
+     * @throws IOException if the I/O worker cannot be created
+     */
+    public EntryProcess(ProcessSettings settings) throws IOException {
+        this(settings, ShellSettings.DEFAULT);
+    }
 
     /**
      * Starts an instance.
      *
      * @param settings settings of the process
-     * @throws java.io.IOException if the I/O worker cannot be created
+     * @param shell settings of the shells
+     * @throws IOException if the I/O worker cannot be created
      */
-    public EntryProcess(ProcessSettings settings) throws java.io.IOException {
-        worker =
-                Xnio.getInstance()
-                        .createWorker(
-                                OptionMap.builder()
-                                        .set(Options.WORKER_IO_THREADS, settings.ioThreads())
-                                        .set(Options.WORKER_TASK_CORE_THREADS, 2)
-                                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
-                                        .set(Options.TCP_NODELAY, true)
-                                        .getMap());
-        timers = Executors.newSingleThreadScheduledExecutor();
+    public EntryProcess(ProcessSettings settings, ShellSettings shell) throws IOException {
+        worker = createWorker(settings.ioThreads());
         buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
+        connections = new BackendConnections(buffers, shell.configuredInstances());
+        decisionLog = new DecisionLog(shell.decisionLog());
         instance = new Instance(settings.instance(), new ConfigJson(), settings.seed());
-        ObjectApiClient store =
-                new ObjectApiClient(
-                        new HttpMessageClient(worker.getIoThread(), buffers), settings.objectApi());
-        InstanceRuntime runtime =
-                new InstanceRuntime(instance, store, timers, EntryProcess::logDecision);
+        HttpMessageClient client = new HttpMessageClient(worker.getIoThread(), buffers);
+        runtime =
+                new InstanceRuntime(
+                        instance,
+                        new ObjectApiClient(client, settings.objectApi()),
+                        client,
+                        timers,
+                        metrics,
+                        this::record,
+                        this::finishStop);
+        registerGauges();
         String requestIdPrefix =
                 settings.instance().id()
                         + "-"
                         + Long.toString(settings.instance().incarnation(), Character.MAX_RADIX);
         callerServer =
-                server(settings.callerAddress())
-                        .setHandler(
-                                new CallHandler(
-                                        runtime, new BackendConnections(buffers), requestIdPrefix))
+                server(settings.callerAddress(), callHandler(shell.limits(), requestIdPrefix))
+                        .setServerOption(
+                                UndertowOptions.MAX_HEADER_SIZE, shell.limits().parserBytes())
                         .build();
-        operatorServer =
-                server(settings.operatorAddress()).setHandler(this::operatorRequest).build();
+        operatorServer = server(settings.operatorAddress(), operatorHandler()).build();
         callerServer.start();
         operatorServer.start();
+        timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
         runtime.handle(new Event.Started());
     }
 
-    private Undertow.Builder server(InetSocketAddress address) {
+    /** Begins the planned stop: not ready, and no further request on open connections. */
+    public void requestStop() {
+        callers.leave();
+        runtime.handle(new Event.StopRequested());
+    }
+
+    /**
+     * Waits until the planned stop is complete.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitStop() throws InterruptedException {
+        stopped.await();
+    }
+
+    @Override
+    public void close() {
+        callerServer.stop();
+        operatorServer.stop();
+        runtime.close();
+        timers.close();
+        connections.close();
+        stopWorker();
+        buffers.close();
+        decisionLog.close();
+    }
+
+    private void record(DecisionRecord decision) {
+        recent.add(decision);
+        decisionLog.add(decision);
+    }
+
+    private void finishStop(Action.FinishStop action) {
+        LOG.info("planned stop done, {} calls open", action.openCalls());
+        callers.closeIdle();
+        stopped.countDown();
+    }
+
+    private boolean isReady() {
+        return instance.isReady() && !callers.isLeaving();
+    }
+
+    private HttpHandler callHandler(CallLimits limits, String requestIdPrefix) {
+        return new CallHandler(runtime, connections, callers, metrics, limits, requestIdPrefix);
+    }
+
+    private HttpHandler operatorHandler() {
+        return new OperatorHandler(
+                instance::configInForce,
+                this::isReady,
+                metrics,
+                recent,
+                connections::openConnections);
+    }
+
+    private void registerGauges() {
+        metrics.gauge("generation", () -> instance.configInForce().generation().number());
+        metrics.gauge("backend_connections", connections::openConnections);
+        metrics.gauge("caller_connections", callers::count);
+        metrics.gauge("log_lines_dropped_total", decisionLog::droppedLines);
+    }
+
+    private static XnioWorker createWorker(int ioThreads) throws IOException {
+        return Xnio.getInstance()
+                .createWorker(
+                        OptionMap.builder()
+                                .set(Options.WORKER_IO_THREADS, ioThreads)
+                                .set(Options.WORKER_TASK_CORE_THREADS, 2)
+                                .set(Options.WORKER_TASK_MAX_THREADS, 2)
+                                .set(Options.TCP_NODELAY, true)
+                                .getMap());
+    }
+
+    private Undertow.Builder server(InetSocketAddress address, HttpHandler handler) {
         return Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
+                .setHandler(handler)
                 .addHttpListener(address.getPort(), address.getHostString())
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
                 .setSocketOption(Options.TCP_NODELAY, true);
     }
 
-    private void operatorRequest(HttpServerExchange exchange) {
-        switch (exchange.getRequestPath()) {
-            case "/live" -> exchange.getResponseSender().send("live\n");
-            case "/ready" -> {
-                exchange.setStatusCode(instance.isReady() ? 200 : 503);
-                exchange.getResponseSender()
-                        .send("generation " + instance.configInForce().generation() + "\n");
-            }
-            default -> exchange.setStatusCode(404).endExchange();
-        }
-    }
-
-    private static void logDecision(DecisionRecord decision) {
-        LOG.debug("decision {} {} {}", decision.request(), decision.kind(), decision.chosen());
-    }
-
-    @Override
-    public void close() {
-        callerServer.stop();
-        operatorServer.stop();
-        timers.shutdownNow();
+    private void stopWorker() {
         worker.shutdownNow();
-        buffers.close();
+        try {
+            worker.awaitTermination(WORKER_STOP_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
@@ -3,9 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,70 +11,68 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Instance;
-import org.snipeslip.core.instance.TimerId;
+import org.snipeslip.core.store.StoreAnswer;
+import org.snipeslip.server.http.CallEvents;
 import org.snipeslip.server.http.CallRelay;
+import org.snipeslip.server.http.HttpMessageClient;
+import org.snipeslip.server.http.ProbeSender;
+import org.snipeslip.server.operator.ServerMetrics;
 import org.snipeslip.server.store.ObjectApiClient;
 
 /** Carries events into the state machine and its actions out to the shells. Decides nothing. */
-public final class InstanceRuntime {
+public final class InstanceRuntime implements CallEvents {
     private static final Logger LOG = LoggerFactory.getLogger(InstanceRuntime.class);
 
     private final Instance instance;
     private final ObjectApiClient store;
-    private final ScheduledExecutorService timers;
+    private final ProbeSender probes;
+    private final Timers timers;
+    private final ServerMetrics metrics;
     private final Consumer<DecisionRecord> decisions;
+    private final Consumer<Action.FinishStop> onFinishStop;
     private final Map<RequestId, CallRelay> relays = new ConcurrentHashMap<>();
-    private final Map<TimerId, ScheduledFuture<?>> timersByName = new ConcurrentHashMap<>();
+    private volatile boolean closed;
 
-    /**
-     * Creates a runtime.
-     *
-     * @param instance the state machine
-     * @param store the object API
-     * @param timers runs due timers
-     * @param decisions takes decision records; must not block
-     */
-    public InstanceRuntime(
+    InstanceRuntime(
             Instance instance,
             ObjectApiClient store,
-            ScheduledExecutorService timers,
-            Consumer<DecisionRecord> decisions) {
+            HttpMessageClient probeClient,
+            Timers timers,
+            ServerMetrics metrics,
+            Consumer<DecisionRecord> decisions,
+            Consumer<Action.FinishStop> onFinishStop) {
         this.instance = instance;
         this.store = store;
+        this.probes = new ProbeSender(probeClient, this::handle);
         this.timers = timers;
+        this.metrics = metrics;
         this.decisions = decisions;
+        this.onFinishStop = onFinishStop;
     }
 
-    /**
-     * Takes an event that happened now.
-     *
-     * @param event the event
-     */
+    @Override
     public void handle(Event event) {
-        carryOut(instance.handle(event, System.nanoTime()));
+        if (!closed) {
+            carryOut(instance.handle(event, System.nanoTime()));
+        }
     }
 
-    /**
-     * Begins a call.
-     *
-     * @param request names the call
-     * @param relay carries its actions
-     * @param arrived its first event
-     */
+    @Override
     public void begin(RequestId request, CallRelay relay, Event.CallArrived arrived) {
         relays.put(request, relay);
         handle(arrived);
     }
 
-    /**
-     * Drops the relay of a call that ended.
-     *
-     * @param request names the call
-     */
+    @Override
     public void forget(RequestId request) {
         relays.remove(request);
     }
 
+    /** Ignores all further events, which closing connections would cause. */
+    void close() {
+        closed = true;
+    }
+
     private void carryOut(List<Action> actions) {
         for (Action action : actions) {
             switch (action) {
@@ -86,37 +81,31 @@
                 case Action.RelayAnswer a -> relay(a.tryId().request(), a);
                 case Action.ReplayAnswer a -> relay(a.request(), a);
                 case Action.RefuseCaller a -> relay(a.request(), a);
-                case Action.CallStore a ->
-                        store.call(
-                                a.request(),
-                                answer -> handle(new Event.StoreAnswered(a.call(), answer)));
-                case Action.SetTimer a -> setTimer(a);
+                case Action.CallStore a -> store.call(a.request(), answer -> answered(a, answer));
+                case Action.SetTimer a ->
+                        timers.set(
+                                a.timer(),
+                                a.delayNanos(),
+                                timer -> handle(new Event.TimerFired(timer)));
                 case Action.RecordDecision a -> decisions.accept(a.decision());
                 case Action.ConfigAdopted a ->
                         LOG.info("configuration generation {} in force", a.config().generation());
-                case Action.FinishStop a -> LOG.info("planned stop done");
+                case Action.FinishStop a -> onFinishStop.accept(a);
                 case Action.SendPeer a -> LOG.debug("no peer transport for {}", a.to());
-                case Action.SendProbe a -> LOG.debug("no probe transport for {}", a.target().id());
+                case Action.SendProbe a -> probes.send(a);
             }
         }
     }
 
+    private void answered(Action.CallStore order, StoreAnswer answer) {
+        metrics.storeAnswered(answer instanceof StoreAnswer.Failed);
+        handle(new Event.StoreAnswered(order.call(), answer));
+    }
+
     private void relay(RequestId request, Action action) {
         CallRelay relay = relays.get(request);
         if (relay != null) {
             relay.carryOut(action);
         }
     }
-
-    private void setTimer(Action.SetTimer order) {
-        ScheduledFuture<?> due =
-                timers.schedule(
-                        () -> handle(new Event.TimerFired(order.timer())),
-                        order.delayNanos(),
-                        TimeUnit.NANOSECONDS);
-        ScheduledFuture<?> replaced = timersByName.put(order.timer(), due);
-        if (replaced != null) {
-            replaced.cancel(false);
-        }
-    }
 }
