Give each command a class, help, and documented exit codes

Cause: Main knew three commands, and operators had none to check, publish, compare or read a configuration.

Change: check, publish, diff, get, status, domain, explain, run, standin, demo and version are classes of their own on JOpt Simple.

--- /dev/null
+++ b/cli/src/main/java/org/snipeslip/cli/CheckCommand.java
@@ -0,0 +1,37 @@
+package org.snipeslip.cli;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.snipeslip.core.error.ConfigFault;
+import org.snipeslip.server.config.ConfigInput;
+
+/** Checks configuration files as one set. */
+final class CheckCommand extends Command {
+    private final OptionSpec<Void> json =
+            parser().accepts("json", "Print the faults as JSON on standard output.");
+
+    CheckCommand() {
+        super("check", InputFiles.ARGUMENT, "Check configuration files as one set.");
+    }
+
+    @Override
+    ExitCode run(OptionSet options, Console console) throws UsageException, IOException {
+        ConfigInput input = InputFiles.read(words(options));
+        List<ConfigFault> faults = input.check();
+        if (options.has(json)) {
+            Map<String, Object> result = new LinkedHashMap<>();
+            result.put("objects", input.objects().size());
+            result.put("faults", faults);
+            console.json(result);
+        } else if (faults.isEmpty()) {
+            console.out().println(input.objects().size() + " objects, no fault");
+        } else {
+            InputFiles.print(faults, console);
+        }
+        return faults.isEmpty() ? ExitCode.OK : ExitCode.FAULTS;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/snipeslip/cli/PublishCommand.java
@@ -0,0 +1,77 @@
+package org.snipeslip.cli;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.snipeslip.core.config.ConfigObject;
+import org.snipeslip.core.config.FailureDomain;
+import org.snipeslip.core.error.ConfigFault;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.server.config.ConfigInput;
+import org.snipeslip.server.config.ObjectStore;
+import org.snipeslip.server.config.PublishedConfig;
+import org.snipeslip.server.config.StoreProblem;
+
+/** Checks configuration files and publishes them as one set. */
+final class PublishCommand extends StoreCommand {
+    private final OptionSpec<Long> expectedGeneration =
+            parser().accepts(
+                            "expect-generation",
+                            "Publish only if this generation is in force, so that no change by"
+                                    + " another operator is overwritten.")
+                    .withRequiredArg()
+                    .ofType(Long.class);
+
+    PublishCommand() {
+        super(
+                "publish",
+                InputFiles.ARGUMENT,
+                "Check configuration files and publish them as the whole configuration.");
+    }
+
+    @Override
+    ExitCode run(OptionSet options, Console console, ObjectStore store)
+            throws UsageException, IOException {
+        ConfigInput input = InputFiles.read(words(options));
+        List<ConfigFault> faults = input.check();
+        if (!faults.isEmpty()) {
+            InputFiles.print(faults, console);
+            return ExitCode.FAULTS;
+        }
+        Either<StoreProblem, PublishedConfig> base = reader(store, console).read();
+        if (base.isLeft()) {
+            return report(base, console);
+        }
+        long generation = base.get().head().generation().number();
+        if (options.has(expectedGeneration) && options.valueOf(expectedGeneration) != generation) {
+            console.message("nothing published: generation " + generation + " is in force");
+            return ExitCode.CONFLICT;
+        }
+        warnOfSwitchedDomains(base.get().objects(), input.configObjects(), console);
+        return new PublishReport(console, isJson(options))
+                .print(publisher(store, console).publish(base.get(), input.configObjects()));
+    }
+
+    /** Files that are older than a "domain leave" would silently return the failure domain. */
+    private static void warnOfSwitchedDomains(
+            List<ConfigObject> published, List<ConfigObject> files, Console console) {
+        Map<FailureDomainId, Boolean> inServiceById =
+                published.stream()
+                        .filter(FailureDomain.class::isInstance)
+                        .map(FailureDomain.class::cast)
+                        .collect(Collectors.toMap(FailureDomain::id, FailureDomain::inService));
+        for (ConfigObject object : files) {
+            if (object instanceof FailureDomain domain
+                    && inServiceById.getOrDefault(domain.id(), domain.inService())
+                            != domain.inService()) {
+                console.message(
+                        "warning: the files take failure domain %s %s service"
+                                .formatted(domain.id(), domain.inService() ? "into" : "out of"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/snipeslip/cli/StandInCommand.java
@@ -0,0 +1,57 @@
+package org.snipeslip.cli;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.snipeslip.standin.BackendServerStandIn;
+import org.snipeslip.standin.ObjectApiStandIn;
+
+/** Runs a stand-in for tests until the process is stopped. */
+final class StandInCommand extends Command {
+    private static final String HOST = "127.0.0.1";
+    private static final int QUEUE_LIMIT = 64;
+
+    private final OptionSpec<Integer> port =
+            parser().accepts("port", "TCP port on 127.0.0.1.")
+                    .withRequiredArg()
+                    .ofType(Integer.class)
+                    .required();
+    private final OptionSpec<Integer> slots =
+            parser().accepts("slots", "Calls that the backend server works on at once.")
+                    .withRequiredArg()
+                    .ofType(Integer.class)
+                    .defaultsTo(4);
+    private final OptionSpec<Long> serviceMicros =
+            parser().accepts("service-micros", "Mean service time of the backend server.")
+                    .withRequiredArg()
+                    .ofType(Long.class)
+                    .defaultsTo(2_000L);
+
+    StandInCommand() {
+        super(
+                "standin",
+                "object-api|backend-server --port PORT",
+                "Run a stand-in of the object API or of a backend server, for tests.");
+    }
+
+    @Override
+    ExitCode run(OptionSet options, Console console) throws UsageException, InterruptedException {
+        List<String> words = words(options);
+        int portNumber = options.valueOf(port);
+        switch (words.size() == 1 ? words.getFirst() : "") {
+            case "object-api" -> new ObjectApiStandIn(HOST, portNumber);
+            case "backend-server" ->
+                    new BackendServerStandIn(
+                            HOST,
+                            portNumber,
+                            options.valueOf(slots),
+                            options.valueOf(serviceMicros),
+                            QUEUE_LIMIT,
+                            portNumber);
+            default -> throw new UsageException("one of object-api and backend-server is required");
+        }
+        new CountDownLatch(1).await();
+        return ExitCode.OK;
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/config/ConfigYaml.java
+++ b/server/src/main/java/org/snipeslip/server/config/ConfigYaml.java
@@ -160,4 +160,14 @@
         }
         return text.toString();
     }
+
+    /**
+     * Returns objects as trees, for output in other formats.
+     *
+     * @param objects the objects
+     * @return one tree for each
+     */
+    public List<JsonNode> trees(List<ConfigObject> objects) {
+        return objects.stream().map(ObjectWriter::write).map(JsonNode.class::cast).toList();
+    }
 }
--- a/server/src/main/java/org/snipeslip/server/config/PublishedReader.java
+++ b/server/src/main/java/org/snipeslip/server/config/PublishedReader.java
@@ -59,8 +59,12 @@
                                         : readParts().flatMap(parts -> withObjects(head, parts)));
     }
 
-    /** Reads the head only; the result has no objects. */
-    Either<StoreProblem, PublishedConfig> readHead() {
+    /**
+     * Reads the head only.
+     *
+     * @return the configuration without its objects, or the problem
+     */
+    public Either<StoreProblem, PublishedConfig> readHead() {
         StoreAnswer answer = store.read(new StoreRequest.Read(ConfigHead.KEY));
         return switch (answer) {
             case StoreAnswer.Absent absent -> Either.right(PublishedConfig.NONE);
