--- a/cli/src/main/java/org/snipeslip/cli/InputFiles.java
+++ b/cli/src/main/java/org/snipeslip/cli/InputFiles.java
@@ -55,6 +55,6 @@
 
     static void print(List<ConfigFault> faults, Console console) {
         faults.forEach(fault -> console.err().println(fault));
-        console.message(faults.size() + " faults");
+        console.message(faults.size() + (faults.size() == 1 ? " fault" : " faults"));
     }
 }
--- a/server/src/main/java/org/snipeslip/server/config/Publisher.java
+++ b/server/src/main/java/org/snipeslip/server/config/Publisher.java
@@ -1,8 +1,10 @@
 package org.snipeslip.server.config;
 
 import io.vavr.control.Either;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 import org.snipeslip.core.config.ConfigHead;
@@ -51,11 +53,10 @@
         }
         List<ConfigPart> parts =
                 objects.stream().sorted(ConfigObject.ORDER).map(codec::encodeObject).toList();
+        Set<String> published = new HashSet<>(base.head().digests());
         for (ConfigPart part : parts) {
             Optional<StoreProblem> problem =
-                    base.head().digests().contains(part.digest())
-                            ? Optional.empty()
-                            : partWriter.ensure(part);
+                    published.contains(part.digest()) ? Optional.empty() : partWriter.ensure(part);
             if (problem.isPresent()) {
                 return new PublishResult.Failed(problem.get());
             }
