Check the at-most-once engine with random schedules

Cause: nothing showed that a key's work starts at most once. The first runs found: a timer that fires a little early by the engine's clock was never set again, so a partition stopped working; an owner that had been idle for longer than the trust time recorded a claim that it then refused. Change: fake object API, world with virtual time and drifting clocks, oracle, model of 2 to 4 engines. The engine notes that its timer fired, lists a stale log before it appends, keeps unwritten outcomes across a listing, and an asker withdraws the claim that it asks again for. Conclusion: mutations of the engine must show next that the model can fail.

--- a/core/src/main/java/org/snipeslip/core/once/AskTracker.java
+++ b/core/src/main/java/org/snipeslip/core/once/AskTracker.java
@@ -113,6 +113,8 @@
             waiting.remove(claim.target.claim);
             neverRun.put(claim.target.claim, claim.target);
             Target old = claim.target;
+            // The refusing owner may have recorded the claim before it learned of its loss.
+            report(old, End.NOT_RUN, RecordableAnswer.NONE);
             ask(claim.request, old.partition, old.digest, claim.expiresNanos, nowNanos);
         } else {
             setTimer(claim, nowNanos);
--- a/core/src/main/java/org/snipeslip/core/once/BoundPartition.java
+++ b/core/src/main/java/org/snipeslip/core/once/BoundPartition.java
@@ -21,6 +21,7 @@
     private final OwnershipObject object;
     private final ClaimTable table;
     private final WaitingClaims claims;
+    private final Duplicates duplicates;
     private final HandoverInbox inbox;
     private final Wake wake;
 
@@ -46,6 +47,7 @@
         this.object = new OwnershipObject(id, scope, this, nowNanos);
         this.table = new ClaimTable(scope.settings);
         this.claims = new WaitingClaims(scope);
+        this.duplicates = new Duplicates(scope, table, claims);
         this.inbox = new HandoverInbox(scope.settings);
         this.wake = new Wake(scope, id.timerKey());
     }
@@ -60,10 +62,8 @@
             scope.reply(ask, Verdict.NOT_OWNER);
         } else if (object.isBackingOff(nowNanos) || claims.isFull()) {
             scope.reply(ask, Verdict.UNAVAILABLE_UNKNOWN);
-        } else if (claims.get(ask.digest()) == null) {
+        } else if (!duplicates.isWaiting(ask)) {
             claims.queue(ask);
-        } else if (!claims.get(ask.digest()).from().equals(ask.from())) {
-            scope.reply(ask, Verdict.IN_PROGRESS);
         }
     }
 
@@ -71,7 +71,7 @@
     public void outcome(Grantee from, ClaimMessage.ClaimOutcome outcome, long nowNanos) {
         claims.giveUp(outcome.keyDigest(), from);
         if (state == State.OWNED) {
-            table.end(outcome.keyDigest(), from, outcome.end(), outcome.answer(), nowNanos);
+            table.end(from, outcome, nowNanos);
         }
     }
 
@@ -99,9 +99,15 @@
         }
     }
 
+    @Override
+    public void timerFired(long nowNanos) {
+        wake.fired();
+        run(nowNanos);
+    }
+
     @Override
     public void run(long nowNanos) {
-        wake.begin(nowNanos);
+        wake.begin();
         object.run(nowNanos);
         table.prune(nowNanos);
         switch (state) {
@@ -122,21 +128,10 @@
     }
 
     private void decide(Ask ask, long nowNanos) {
-        Ask waiting = claims.get(ask.digest());
-        if (waiting != null) {
-            if (!waiting.from().equals(ask.from())) {
-                scope.reply(ask, Verdict.IN_PROGRESS);
-            }
-            return;
-        }
-        ClaimRecord record = table.get(ask.digest());
-        if (record != null && Duplicates.isSameClaim(record, ask)) {
+        if (duplicates.settle(ask)) {
             return;
         }
-        Verdict verdict = record == null ? null : Duplicates.verdict(record, ask, scope.ranking);
-        if (verdict != null) {
-            scope.reply(ask, verdict, record.answer());
-        } else if (record == null && isRecovering(nowNanos)) {
+        if (table.get(ask.digest()) == null && isRecovering(nowNanos)) {
             scope.reply(ask, Verdict.OUTCOME_UNKNOWN);
         } else if (failing && object.isBackingOff(nowNanos)
                 || claims.isFull()
--- a/core/src/main/java/org/snipeslip/core/once/ClaimTable.java
+++ b/core/src/main/java/org/snipeslip/core/once/ClaimTable.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.snipeslip.core.instance.RecordableAnswer;
 import org.snipeslip.core.peer.ClaimMessage;
 
 /**
@@ -32,20 +31,22 @@
     }
 
     /** Applies the end of a claim; returns false if the key is not granted to that claim. */
-    boolean end(
-            String digest,
-            Grantee grantee,
-            ClaimMessage.End end,
-            RecordableAnswer answer,
-            long nowNanos) {
-        ClaimRecord record = get(digest);
+    boolean end(Grantee grantee, ClaimMessage.ClaimOutcome outcome, long nowNanos) {
+        ClaimRecord record = get(outcome.keyDigest());
+        boolean granted = record != null && record.grantee().equals(grantee);
+        return granted && end(record.ended(outcome.end(), outcome.answer()), nowNanos);
+    }
+
+    /** Replaces a grant by the ended record of the same claim. */
+    boolean end(ClaimRecord ended, long nowNanos) {
+        ClaimRecord record = get(ended.digest());
         if (record == null
-                || !record.grantee().equals(grantee)
+                || !record.grantee().equals(ended.grantee())
                 || record.end() != ClaimMessage.End.GRANTED
-                || end == ClaimMessage.End.GRANTED) {
+                || ended.end() == ClaimMessage.End.GRANTED) {
             return false;
         }
-        put(record.ended(end, answer), nowNanos);
+        put(ended, nowNanos);
         return true;
     }
 
--- a/core/src/main/java/org/snipeslip/core/once/DurablePartition.java
+++ b/core/src/main/java/org/snipeslip/core/once/DurablePartition.java
@@ -1,8 +1,6 @@
 package org.snipeslip.core.once;
 
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import org.snipeslip.core.id.InstanceId;
 import org.snipeslip.core.peer.ClaimMessage;
 import org.snipeslip.core.peer.ClaimMessage.Verdict;
@@ -22,14 +20,14 @@
     private final PartitionLog log;
     private final ClaimTable table;
     private final WaitingClaims claims;
-    private final Set<String> dirty = new LinkedHashSet<>();
+    private final Duplicates duplicates;
+    private final UnwrittenOutcomes unwritten;
     private final Wake wake;
 
     private State state = State.IDLE;
     private boolean failing;
     private boolean asked;
     private long lastAskNanos;
-    private long dirtySinceNanos;
     private long seenLast = -1;
     private long seenNanos;
     private long waitUntilNanos;
@@ -41,6 +39,8 @@
         this.log = new PartitionLog(id, scope, this, nowNanos);
         this.table = new ClaimTable(scope.settings);
         this.claims = new WaitingClaims(scope);
+        this.duplicates = new Duplicates(scope, table, claims);
+        this.unwritten = new UnwrittenOutcomes(table, scope.settings);
         this.wake = new Wake(scope, id.timerKey());
         this.waitUntilNanos = nowNanos;
     }
@@ -51,17 +51,7 @@
         lastAskNanos = nowNanos;
         switch (state) {
             case OWNED -> decide(ask, nowNanos);
-            case IDLE, LISTING, TAKING -> {
-                if (!isWanted(nowNanos)) {
-                    scope.reply(ask, Verdict.NOT_OWNER);
-                } else if (failing || claims.isFull()) {
-                    scope.reply(ask, Verdict.UNAVAILABLE_UNKNOWN);
-                } else if (claims.get(ask.digest()) == null) {
-                    claims.queue(ask);
-                } else if (!claims.get(ask.digest()).from().equals(ask.from())) {
-                    scope.reply(ask, Verdict.IN_PROGRESS);
-                }
-            }
+            case IDLE, LISTING, TAKING -> prepare(ask, nowNanos);
             case WAITING -> scope.reply(ask, Verdict.UNAVAILABLE_UNKNOWN);
             default -> scope.reply(ask, Verdict.NOT_OWNER);
         }
@@ -70,7 +60,9 @@
     @Override
     public void outcome(Grantee from, ClaimMessage.ClaimOutcome outcome, long nowNanos) {
         claims.giveUp(outcome.keyDigest(), from);
-        end(outcome.keyDigest(), from, outcome, nowNanos);
+        if (table.end(from, outcome, nowNanos)) {
+            unwritten.add(outcome.keyDigest(), nowNanos);
+        }
     }
 
     @Override
@@ -86,6 +78,10 @@
             case LISTED -> listed(nowNanos);
             case APPENDED -> appended(nowNanos);
             case LOST -> stepDown();
+            case STALE -> {
+                claims.stepDown();
+                relist(nowNanos);
+            }
             case FAILED -> failed(nowNanos);
             default -> {
                 // Not settled yet.
@@ -93,9 +89,15 @@
         }
     }
 
+    @Override
+    public void timerFired(long nowNanos) {
+        wake.fired();
+        run(nowNanos);
+    }
+
     @Override
     public void run(long nowNanos) {
-        wake.begin(nowNanos);
+        wake.begin();
         log.run(nowNanos);
         table.prune(nowNanos);
         if (state == State.OWNED) {
@@ -114,24 +116,9 @@
     }
 
     private void decide(Ask ask, long nowNanos) {
-        Ask waiting = claims.get(ask.digest());
-        if (waiting != null) {
-            if (!waiting.from().equals(ask.from())) {
-                scope.reply(ask, Verdict.IN_PROGRESS);
-            }
+        if (duplicates.settle(ask)) {
             return;
         }
-        ClaimRecord record = table.get(ask.digest());
-        if (record != null) {
-            if (Duplicates.isSameClaim(record, ask)) {
-                return;
-            }
-            Verdict verdict = Duplicates.verdict(record, ask, scope.ranking);
-            if (verdict != null) {
-                scope.reply(ask, verdict, record.answer());
-                return;
-            }
-        }
         if (failing || claims.isFull() || !table.hasRoomFor(claims.size())) {
             scope.reply(ask, unavailable(nowNanos));
         } else {
@@ -139,18 +126,18 @@
         }
     }
 
-    private void end(
-            String digest, Grantee from, ClaimMessage.ClaimOutcome outcome, long nowNanos) {
-        if (table.end(digest, from, outcome.end(), outcome.answer(), nowNanos)) {
-            markDirty(digest, nowNanos);
+    /** Takes a claim while this instance is not the owner but may become it. */
+    private void prepare(Ask ask, long nowNanos) {
+        if (duplicates.replay(ask)) {
+            return;
         }
-    }
-
-    private void markDirty(String digest, long nowNanos) {
-        if (dirty.isEmpty()) {
-            dirtySinceNanos = nowNanos;
+        if (!isWanted(nowNanos)) {
+            scope.reply(ask, Verdict.NOT_OWNER);
+        } else if (failing || claims.isFull()) {
+            scope.reply(ask, Verdict.UNAVAILABLE_UNKNOWN);
+        } else if (!duplicates.isWaiting(ask)) {
+            claims.queue(ask);
         }
-        dirty.add(digest);
     }
 
     /** What a key that is in neither table nor queue can be told. */
@@ -181,11 +168,9 @@
 
     private void take(long nowNanos) {
         if (!isWanted(nowNanos)) {
-            claims.stepDown();
-            state = State.IDLE;
+            stepDown();
         } else if (nowNanos - waitUntilNanos >= 0) {
-            state = State.LISTING;
-            log.list(nowNanos);
+            relist(nowNanos);
         }
     }
 
@@ -198,14 +183,15 @@
         }
         waitUntilNanos = seenNanos + scope.settings.takeoverNanos();
         if (!isWanted(nowNanos)) {
-            claims.stepDown();
-            state = State.IDLE;
+            stepDown();
         } else if (isFree(replay.lastSegment()) || nowNanos - waitUntilNanos >= 0) {
             state = State.TAKING;
             log.adopt(nowNanos);
             log.append(Segment.Kind.TAKEOVER, List.of(), log.base(), nowNanos);
         } else {
             state = State.WAITING;
+            table.clear();
+            unwritten.clear();
             claims.refuseAll(Verdict.UNAVAILABLE_UNKNOWN);
         }
     }
@@ -222,7 +208,8 @@
         switch (state) {
             case TAKING -> {
                 state = State.OWNED;
-                table.replaceBy(log.replay().records(), nowNanos);
+                unwritten.replaceTable(log.replay(), nowNanos);
+                checkpoint = null;
                 claims.takeQueued().forEach(ask -> decide(ask, nowNanos));
             }
             case HANDING_OVER -> {
@@ -234,6 +221,12 @@
         }
     }
 
+    /** Reads the log again; table and outcomes are kept until the takeover replaces them. */
+    private void relist(long nowNanos) {
+        state = State.LISTING;
+        log.list(nowNanos);
+    }
+
     private void grantCovered(long nowNanos) {
         if (checkpoint != null && checkpoint.isComplete()) {
             checkpoint = null;
@@ -242,7 +235,7 @@
             ClaimRecord record = ClaimRecord.granted(ask);
             if (claims.isAbandoned(ask)) {
                 table.put(record.ended(ClaimMessage.End.NOT_RUN, record.answer()), nowNanos);
-                markDirty(ask.digest(), nowNanos);
+                unwritten.add(ask.digest(), nowNanos);
             } else {
                 table.put(record, nowNanos);
                 scope.reply(ask, Verdict.GRANTED);
@@ -273,7 +266,7 @@
     private void stepDown() {
         claims.stepDown();
         table.clear();
-        dirty.clear();
+        unwritten.clear();
         checkpoint = null;
         state = State.IDLE;
     }
@@ -282,6 +275,10 @@
         if (log.isBusy() || !log.mayWrite(nowNanos)) {
             return;
         }
+        if (log.isStale(nowNanos)) {
+            relist(nowNanos);
+            return;
+        }
         boolean leave = !isFirst();
         if (leave) {
             claims.takeQueued().forEach(ask -> scope.reply(ask, Verdict.NOT_OWNER));
@@ -299,7 +296,7 @@
         return !claims.isQueueEmpty()
                 || checkpoint != null
                 || log.segmentsSinceBase() >= scope.settings.checkpointSegments()
-                || !dirty.isEmpty() && nowNanos - flushAtNanos() >= 0
+                || !unwritten.isEmpty() && nowNanos - unwritten.flushAtNanos() >= 0
                 || renews(nowNanos) && nowNanos - renewAtNanos() >= 0;
     }
 
@@ -307,19 +304,15 @@
         return !id.group().isBound() || isUsed(nowNanos);
     }
 
-    private long flushAtNanos() {
-        return dirtySinceNanos + scope.settings.flushMillis() * OnceSettings.NANOS_PER_MILLI;
-    }
-
     private long renewAtNanos() {
         return log.confirmedNanos() + scope.settings.renewMillis() * OnceSettings.NANOS_PER_MILLI;
     }
 
     private void append(boolean leave, long nowNanos) {
         Batch batch = new Batch(scope.settings.maxSegmentBytes());
-        fillDirty(batch);
+        unwritten.fill(batch);
         claims.cover(batch);
-        boolean handover = leave && dirty.isEmpty();
+        boolean handover = leave && unwritten.isEmpty();
         long base = log.base();
         if (!leave) {
             base = repeatRecords(batch);
@@ -331,17 +324,6 @@
         log.append(kind, batch.records(), base, nowNanos);
     }
 
-    private void fillDirty(Batch batch) {
-        var next = dirty.iterator();
-        while (next.hasNext()) {
-            ClaimRecord record = table.get(next.next());
-            if (record != null && !batch.addChanged(record)) {
-                return;
-            }
-            next.remove();
-        }
-    }
-
     /** Continues or begins a checkpoint; returns the base of the segment being built. */
     private long repeatRecords(Batch batch) {
         if (checkpoint == null && log.segmentsSinceBase() >= scope.settings.checkpointSegments()) {
@@ -371,8 +353,8 @@
         if (now) {
             wake.at(log.nextWriteNanos());
         }
-        if (!dirty.isEmpty()) {
-            wake.at(Math.max(flushAtNanos(), log.nextWriteNanos()));
+        if (!unwritten.isEmpty()) {
+            wake.at(Math.max(unwritten.flushAtNanos(), log.nextWriteNanos()));
         }
         if (renews(nowNanos)) {
             wake.at(Math.max(renewAtNanos(), log.nextWriteNanos()));
--- a/core/src/main/java/org/snipeslip/core/once/OnceEngine.java
+++ b/core/src/main/java/org/snipeslip/core/once/OnceEngine.java
@@ -109,7 +109,7 @@
                 String key = fired.timer().key();
                 PartitionId id = partitionByTimer.get(key);
                 if (!asks.timerFired(key, nowNanos) && id != null) {
-                    partitions.get(id).run(nowNanos);
+                    partitions.get(id).timerFired(nowNanos);
                 }
             }
             default -> {
--- a/core/src/main/java/org/snipeslip/core/once/Partition.java
+++ b/core/src/main/java/org/snipeslip/core/once/Partition.java
@@ -18,6 +18,9 @@
     /** Takes the answer of an object API call of this partition. */
     void answered(long call, StoreAnswer answer, long nowNanos);
 
+    /** Takes the timer of the partition. */
+    void timerFired(long nowNanos);
+
     /** Does what is due, and sets the timer of the partition. */
     void run(long nowNanos);
 
--- a/core/src/main/java/org/snipeslip/core/once/PartitionLog.java
+++ b/core/src/main/java/org/snipeslip/core/once/PartitionLog.java
@@ -237,6 +237,15 @@
         }
     }
 
+    /** Whether the log must be listed again before an append, or the append may not be trusted. */
+    boolean isStale(long nowNanos) {
+        return nowNanos - confirmedNanos > trustNanos() / 2;
+    }
+
+    private long trustNanos() {
+        return scope.settings.trustMillis() * OnceSettings.NANOS_PER_MILLI;
+    }
+
     private Step lost() {
         flight = null;
         failures = 0;
@@ -251,9 +260,8 @@
         Flight done = flight;
         flight = null;
         failures = 0;
-        long trustNanos = scope.settings.trustMillis() * OnceSettings.NANOS_PER_MILLI;
-        if (nowNanos - confirmedNanos > trustNanos) {
-            return Step.LOST;
+        if (nowNanos - confirmedNanos > trustNanos()) {
+            return Step.STALE;
         }
         last = done.sequence;
         base = done.segment.base();
@@ -289,8 +297,10 @@
         LISTED,
         /** The append took effect. */
         APPENDED,
-        /** Another writer owns the log, or the own knowledge of it is too old. */
+        /** Another writer owns the log. */
         LOST,
+        /** The append is in the log, but another writer may own it by now. */
+        STALE,
         /** The object API does not answer as it should; the call is repeated later. */
         FAILED
     }
--- a/core/src/main/java/org/snipeslip/core/once/Wake.java
+++ b/core/src/main/java/org/snipeslip/core/once/Wake.java
@@ -14,11 +14,13 @@
         this.timerKey = timerKey;
     }
 
-    void begin(long nowNanos) {
+    /** Notes that the timer fired, which may be a little early by the engine's clock. */
+    void fired() {
+        pending = false;
+    }
+
+    void begin() {
         set = false;
-        if (pending && nowNanos - pendingAtNanos >= 0) {
-            pending = false;
-        }
     }
 
     void at(long nanos) {
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/once/OnceOracle.java
@@ -0,0 +1,73 @@
+package org.snipeslip.core.once;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.snipeslip.core.call.Outcome;
+import org.snipeslip.core.call.RefusalReason;
+import org.snipeslip.core.instance.RecordableAnswer;
+import org.snipeslip.core.peer.ClaimMessage;
+import org.snipeslip.core.store.StoreRequest;
+
+/** What really happened to each key, against which every decision is checked. */
+final class OnceOracle {
+    final Map<String, List<Grant>> grantsByDigest = new HashMap<>();
+    final Set<String> boundDigests = new HashSet<>();
+    int grants;
+    int replays;
+    int refusedNotRun;
+    int refusedUnknown;
+
+    Grant granted(String digest, String trace) {
+        List<Grant> grants = grantsByDigest.computeIfAbsent(digest, key -> new ArrayList<>());
+        assertThat(grants)
+                .as("second start of %s (%s)", digest, trace)
+                .allMatch(grant -> grant.end == ClaimMessage.End.NOT_RUN);
+        Grant grant = new Grant();
+        grants.add(grant);
+        this.grants++;
+        return grant;
+    }
+
+    void replayed(String digest, RecordableAnswer answer) {
+        replays++;
+        assertThat(grantsByDigest.getOrDefault(digest, List.of()))
+                .as("replay of an answer that nobody gave: %s", answer)
+                .anyMatch(grant -> answer.equals(grant.answer));
+    }
+
+    void refused(String digest, ClaimDecision.Refused refused, boolean byRemoteOwner) {
+        assertThat(refused.refusal().sent()).isFalse();
+        if (refused.refusal().outcome() == Outcome.UNKNOWN) {
+            refusedUnknown++;
+            return;
+        }
+        refusedNotRun++;
+        if (!byRemoteOwner && refused.refusal().reason() != RefusalReason.KEY_REUSED) {
+            saidNotRun(digest);
+        }
+    }
+
+    /** Called when the owner decides, as a later submission may run before the reply arrives. */
+    void saidNotRun(String digest) {
+        assertThat(grantsByDigest.getOrDefault(digest, List.of()))
+                .as("false 'not run' of %s", digest)
+                .allMatch(grant -> grant.end == ClaimMessage.End.NOT_RUN);
+    }
+
+    void called(StoreRequest request) {
+        String text = request.toString();
+        assertThat(boundDigests).as("record of a bound call in %s", text).noneMatch(text::contains);
+    }
+
+    /** One grant that was acted upon. */
+    static final class Grant {
+        ClaimMessage.End end = ClaimMessage.End.GRANTED;
+        RecordableAnswer answer;
+    }
+}
