Test single situations of the at-most-once engine and split views in the model

Cause: the model missed an owner that stays unaware of its replacement for longer than the retention time. Runs with the new tests found: a takeover after a quick loss exceeded 8 writes per second; a checkpoint longer than its interval was followed at once by the next one; a stopping instance whose view did not show it as leaving chose itself as the next owner.

--- a/core/src/main/java/org/snipeslip/core/once/DurablePartition.java
+++ b/core/src/main/java/org/snipeslip/core/once/DurablePartition.java
@@ -184,6 +184,9 @@
         waitUntilNanos = seenNanos + scope.settings.takeoverNanos();
         if (!isWanted(nowNanos)) {
             stepDown();
+        } else if (!log.mayWrite(nowNanos)) {
+            state = State.IDLE;
+            waitUntilNanos = log.nextWriteNanos();
         } else if (isFree(replay.lastSegment()) || nowNanos - waitUntilNanos >= 0) {
             state = State.TAKING;
             log.adopt(nowNanos);
@@ -295,7 +298,7 @@
     private boolean isAppendDue(long nowNanos) {
         return !claims.isQueueEmpty()
                 || checkpoint != null
-                || log.segmentsSinceBase() >= scope.settings.checkpointSegments()
+                || log.segmentsSinceCheckpoint() >= scope.settings.checkpointSegments()
                 || !unwritten.isEmpty() && nowNanos - unwritten.flushAtNanos() >= 0
                 || renews(nowNanos) && nowNanos - renewAtNanos() >= 0;
     }
@@ -326,7 +329,8 @@
 
     /** Continues or begins a checkpoint; returns the base of the segment being built. */
     private long repeatRecords(Batch batch) {
-        if (checkpoint == null && log.segmentsSinceBase() >= scope.settings.checkpointSegments()) {
+        if (checkpoint == null
+                && log.segmentsSinceCheckpoint() >= scope.settings.checkpointSegments()) {
             checkpoint = new Checkpoint(log.nextSequence(), table);
         }
         if (checkpoint == null) {
--- a/core/src/main/java/org/snipeslip/core/once/OwnerRanking.java
+++ b/core/src/main/java/org/snipeslip/core/once/OwnerRanking.java
@@ -15,6 +15,7 @@
     private final Map<PartitionId, InstanceId> firstByPartition = new HashMap<>();
     private final Map<InstanceId, MemberUpdate> members = new HashMap<>();
     private boolean known;
+    private InstanceId excluded;
 
     void update(MemberView view) {
         known = true;
@@ -23,6 +24,12 @@
         view.members().forEach(member -> members.put(member.id(), member));
     }
 
+    /** Ranks an instance no more, whatever the views say. */
+    void exclude(InstanceId id) {
+        excluded = id;
+        firstByPartition.clear();
+    }
+
     boolean isKnown() {
         return known;
     }
@@ -49,6 +56,7 @@
         String number = Integer.toString(partition.number());
         for (MemberUpdate member : members.values()) {
             if (member.status() != MemberStatus.ALIVE
+                    || member.id().equals(excluded)
                     || !partition.group().allows(member.region())) {
                 continue;
             }
--- a/core/src/main/java/org/snipeslip/core/once/PartitionLog.java
+++ b/core/src/main/java/org/snipeslip/core/once/PartitionLog.java
@@ -25,6 +25,7 @@
 
     private long last;
     private long base = 1;
+    private long checkpointEnd;
     private long confirmedNanos;
     private long nextWriteNanos;
     private boolean lastWasDeletion;
@@ -65,8 +66,9 @@
         return last + 1;
     }
 
-    long segmentsSinceBase() {
-        return last + 1 - base;
+    /** Segments appended since the last checkpoint ended, or since the base before the first. */
+    long segmentsSinceCheckpoint() {
+        return last + 1 - Math.max(base, checkpointEnd);
     }
 
     long base() {
@@ -264,7 +266,10 @@
             return Step.STALE;
         }
         last = done.sequence;
-        base = done.segment.base();
+        if (done.segment.base() > base) {
+            base = done.segment.base();
+            checkpointEnd = last;
+        }
         confirmedNanos = done.startNanos;
         segments.put(last, new Known(version, nowNanos));
         return Step.APPENDED;
--- a/core/src/main/java/org/snipeslip/core/once/Scope.java
+++ b/core/src/main/java/org/snipeslip/core/once/Scope.java
@@ -53,6 +53,7 @@
 
     void stop() {
         stopping = true;
+        ranking.exclude(self);
     }
 
     boolean isStopping() {
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/once/OnceEngineTest.java
@@ -0,0 +1,293 @@
+package org.snipeslip.core.once;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipeslip.core.call.Outcome;
+import org.snipeslip.core.call.RefusalReason;
+import org.snipeslip.core.id.RequestId;
+import org.snipeslip.core.peer.ClaimMessage;
+import org.snipeslip.core.routing.HomeRegions;
+
+/** Single situations of the at-most-once engine, in virtual time. */
+class OnceEngineTest {
+    private static final OnceWorld.Faults DOWN = new OnceWorld.Faults(1, 0, 0, 0);
+
+    /** Ten minutes on a clock that is up to 1% slow, and a second for the record to be made. */
+    private static final long RETENTION_MILLIS = 600_000 * 102 / 100;
+
+    private static final HomeRegions IN_NEAR = new HomeRegions(true, Set.of(OnceWorld.NEAR));
+    private static final HomeRegions IN_FAR = new HomeRegions(true, Set.of(OnceWorld.FAR));
+
+    /** Guards against "not run" from an instance that knows nothing of earlier submissions. */
+    @Test
+    void refusesAsUnknownBeforeAMemberView() {
+        OnceWorld world = new OnceWorld(1, settings(1, 1_000, 256));
+        RequestId call = world.submit(world.add("a", OnceWorld.NEAR), "k", HomeRegions.ANY);
+        assertRefused(world, call, RefusalReason.ONCE_UNAVAILABLE, Outcome.UNKNOWN);
+    }
+
+    /** Guards against an idle partition that waits for a batch. */
+    @Test
+    void grantsAnIdleKeyAfterOneRoundTrip() {
+        OnceWorld world = world(settings(1, 1_000, 256));
+        RequestId call = world.submit(first(world), "k", HomeRegions.ANY);
+        world.runFor(8);
+        assertThat(world.decisions.get(call)).isInstanceOf(ClaimDecision.Granted.class);
+    }
+
+    /** Guards against a false "not run" once another owner may have taken over. */
+    @Test
+    void refusesNewKeysAsNotRunOnlyWithinTheLease() {
+        OnceWorld world = world(settings(1, 1_000, 256));
+        RequestId answered = grantedAndAnswered(world, first(world), "old", HomeRegions.ANY);
+        world.apiFaults = DOWN;
+        RequestId early = world.submit(first(world), "new1", HomeRegions.ANY);
+        world.runFor(1_500);
+        assertRefused(world, early, RefusalReason.ONCE_UNAVAILABLE, Outcome.NOT_RUN);
+        world.runFor(6_000);
+        RequestId late = world.submit(first(world), "new2", HomeRegions.ANY);
+        RequestId duplicate = world.submit(first(world), "old", HomeRegions.ANY);
+        world.runFor(1_500);
+        assertRefused(world, late, RefusalReason.ONCE_UNAVAILABLE, Outcome.UNKNOWN);
+        assertReplayOf(world, duplicate, answered);
+        world.runFor(120_000);
+        world.apiFaults = OnceWorld.Faults.NONE;
+        world.runFor(10_000);
+        RequestId after = world.submit(first(world), "old", HomeRegions.ANY);
+        world.runFor(100);
+        assertReplayOf(world, after, answered);
+    }
+
+    /** Guards against records dropped before their time when the table is full. */
+    @Test
+    void refusesNewKeysAsNotRunWhenFull() {
+        OnceWorld world = world(settings(1, 2, 256));
+        RequestId answered = grantedAndAnswered(world, first(world), "k1", HomeRegions.ANY);
+        grantedAndAnswered(world, first(world), "k2", HomeRegions.ANY);
+        RequestId third = world.submit(first(world), "k3", HomeRegions.ANY);
+        RequestId duplicate = world.submit(first(world), "k1", HomeRegions.ANY);
+        world.runFor(100);
+        assertRefused(world, third, RefusalReason.ONCE_UNAVAILABLE, Outcome.NOT_RUN);
+        assertReplayOf(world, duplicate, answered);
+        world.runFor(RETENTION_MILLIS);
+        RequestId later = world.submit(first(world), "k3", HomeRegions.ANY);
+        world.runFor(100);
+        assertThat(world.decisions.get(later)).isInstanceOf(ClaimDecision.Granted.class);
+    }
+
+    /** Guards against idle owners that use up the writes of the object API. */
+    @Test
+    void idlePartitionsAppendEightTimesPerSecondInTotal() {
+        OnceWorld world = world(OnceSettings.DEFAULT);
+        long before = world.oracle.creates;
+        world.runFor(60_000);
+        assertThat(world.oracle.creates - before).isBetween(60L * 6, 60L * 8 + 32);
+    }
+
+    /** Guards against a log that grows without end, and against a checkpoint that loses records. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 256})
+    void checkpointsKeepTheRecordsAndEndTheLog(int checkpointSegments) {
+        OnceWorld world = world(settings(1, 1_000, checkpointSegments));
+        RequestId answered = grantedAndAnswered(world, first(world), "first", HomeRegions.ANY);
+        for (int i = 0; i < 300; i++) {
+            grantedAndAnswered(world, first(world), "k" + i, HomeRegions.ANY);
+        }
+        // 8 writes per second for the deletion delay of 120 s, and two checkpoint intervals.
+        assertThat(world.api.objects.size()).isLessThan(960 + 2 * checkpointSegments);
+        world.runFor(300_000);
+        assertThat(world.api.objects.size()).isLessThan(60 + 2 * checkpointSegments);
+        world.lose(first(world));
+        world.start(first(world));
+        world.shareViews();
+        world.runFor(10_000);
+        RequestId duplicate = world.submit(first(world), "first", HomeRegions.ANY);
+        world.runFor(100);
+        assertReplayOf(world, duplicate, answered);
+    }
+
+    /** Guards against a grant that takes effect after the caller was told that it failed. */
+    @Test
+    void lateGrantIsNotActedUponAndReleasesTheKey() {
+        OnceWorld world = world(settings(1, 1_000, 256));
+        OnceNode asker = world.add("b", OnceWorld.NEAR);
+        world.showView(asker, null);
+        RequestId late = world.submit(asker, "k", HomeRegions.ANY);
+        asker.paused = true;
+        world.runFor(3_000);
+        world.resume(asker);
+        world.runFor(100);
+        assertRefused(world, late, RefusalReason.ONCE_UNAVAILABLE, Outcome.UNKNOWN);
+        RequestId again = world.submit(first(world), "k", HomeRegions.ANY);
+        world.runFor(500);
+        assertThat(world.decisions.get(again)).isInstanceOf(ClaimDecision.Granted.class);
+    }
+
+    /**
+     * Guards against a paused owner whose repeated write succeeds because a later owner used its
+     * key and deleted it.
+     */
+    @Test
+    void pausedOwnerDoesNotGrantAfterItsKeyWasDeleted() {
+        OnceWorld world = world(settings(1, 1_000, 10));
+        OnceNode old = first(world);
+        world.apiFaults = DOWN;
+        RequestId unsettled = world.submit(old, "k", HomeRegions.ANY);
+        world.runFor(1);
+        old.paused = true;
+        world.runFor(500);
+        world.apiFaults = OnceWorld.Faults.NONE;
+        OnceNode next = world.add("b", OnceWorld.NEAR);
+        world.showView(next, old);
+        world.runFor(10_000);
+        for (int i = 0; i < 100; i++) {
+            grantedAndAnswered(world, next, "n" + i, HomeRegions.ANY);
+        }
+        RequestId granted = world.submit(next, "k", HomeRegions.ANY);
+        world.runFor(200_000);
+        assertThat(world.decisions.get(granted)).isInstanceOf(ClaimDecision.Granted.class);
+        world.resume(old);
+        RequestId duplicate = world.submit(old, "k", HomeRegions.ANY);
+        world.runFor(3_000);
+        assertThat(world.decisions.get(unsettled)).isInstanceOf(ClaimDecision.Refused.class);
+        assertThat(world.decisions.get(duplicate)).isInstanceOf(ClaimDecision.Refused.class);
+    }
+
+    /** Guards against an owner in memory that grants keys after another one replaced it. */
+    @Test
+    void replacedBoundOwnerGrantsNothing() {
+        OnceWorld world = world(settings(1, 1_000, 256));
+        OnceNode old = world.add("far1", OnceWorld.FAR);
+        world.showView(old, null);
+        grantedAndAnswered(world, old, "k0", IN_FAR);
+        OnceNode next = world.add("far2", OnceWorld.FAR);
+        world.showView(next, old);
+        world.submit(next, "wake", IN_FAR);
+        world.runFor(700_000);
+        world.submit(next, "k", IN_FAR);
+        world.runFor(1_000);
+        RequestId duplicate = world.submit(old, "k", IN_FAR);
+        world.runFor(3_000);
+        assertThat(world.decisions.get(duplicate)).isInstanceOf(ClaimDecision.Refused.class);
+    }
+
+    /** Guards against an owner without records that takes an old key for a new one. */
+    @Test
+    void boundOwnerAfterALossAnswersUnknownForTheRetentionTime() {
+        OnceWorld world = world(settings(1, 1_000, 256));
+        OnceNode old = world.add("far1", OnceWorld.FAR);
+        world.showView(old, null);
+        grantedAndAnswered(world, old, "k", IN_FAR);
+        world.lose(old);
+        OnceNode next = world.add("far2", OnceWorld.FAR);
+        world.showView(next, null);
+        RequestId duplicate = world.submit(next, "k", IN_FAR);
+        world.runFor(300_000);
+        RequestId other = world.submit(next, "new", IN_FAR);
+        world.runFor(RETENTION_MILLIS - 300_000);
+        RequestId after = world.submit(next, "new2", IN_FAR);
+        world.runFor(100);
+        RefusalReason unknown = RefusalReason.EARLIER_OUTCOME_UNKNOWN;
+        assertRefused(world, duplicate, unknown, Outcome.UNKNOWN);
+        assertRefused(world, other, unknown, Outcome.UNKNOWN);
+        assertThat(world.decisions.get(after)).isInstanceOf(ClaimDecision.Granted.class);
+        assertThat(world.api.below("once/")).noneMatch(o -> o.key().contains("far"));
+        assertThat(world.api.below("once-owner/")).hasSize(1);
+    }
+
+    /** Guards against a planned stop that loses records, with lost and doubled messages too. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void plannedStopHandsRecordsOver(boolean bound) {
+        OnceWorld world = world(settings(1, 1_000, 256));
+        HomeRegions regions = bound ? IN_FAR : IN_NEAR;
+        OnceNode old = bound ? world.add("far1", OnceWorld.FAR) : first(world);
+        world.showView(old, null);
+        RequestId answered = grantedAndAnswered(world, old, "k", regions);
+        OnceNode next = world.add("next", bound ? OnceWorld.FAR : OnceWorld.NEAR);
+        world.shareViews();
+        world.netFaults = new OnceWorld.Faults(0.3, 0, 0.3, 0);
+        world.stop(old);
+        world.shareViews();
+        world.runFor(3_000);
+        assertThat(old.engine.isHandedOver()).isTrue();
+        world.netFaults = OnceWorld.Faults.NONE;
+        world.lose(old);
+        RequestId duplicate = world.submit(next, "k", regions);
+        RequestId fresh = world.submit(next, "new", regions);
+        world.runFor(500);
+        assertReplayOf(world, duplicate, answered);
+        assertThat(world.decisions.get(fresh)).isInstanceOf(ClaimDecision.Granted.class);
+    }
+
+    private static OnceSettings settings(int partitions, int maxRecords, int checkpointSegments) {
+        return new OnceSettings(
+                partitions,
+                1,
+                8,
+                6_000,
+                1_000,
+                4_000,
+                600_000,
+                60_000,
+                120_000,
+                2_000,
+                200,
+                5_000,
+                1_000,
+                5_000,
+                maxRecords,
+                4_096,
+                16_384,
+                32,
+                4_096,
+                checkpointSegments,
+                10);
+    }
+
+    /** A world with one instance beside the object API that owns every partition. */
+    private static OnceWorld world(OnceSettings settings) {
+        OnceWorld world = new OnceWorld(7, settings);
+        world.holdWork = true;
+        world.add("a", OnceWorld.NEAR);
+        world.shareViews();
+        world.runFor(1_000);
+        return world;
+    }
+
+    private static OnceNode first(OnceWorld world) {
+        return world.nodes.values().iterator().next();
+    }
+
+    private static RequestId grantedAndAnswered(
+            OnceWorld world, OnceNode node, String key, HomeRegions regions) {
+        RequestId call = world.submit(node, key, regions);
+        world.runFor(500);
+        assertThat(world.decisions.get(call)).isInstanceOf(ClaimDecision.Granted.class);
+        world.end(node, call, ClaimMessage.End.ANSWERED);
+        world.runFor(100);
+        return call;
+    }
+
+    private static void assertRefused(
+            OnceWorld world, RequestId call, RefusalReason reason, Outcome outcome) {
+        assertThat(world.decisions.get(call))
+                .isInstanceOfSatisfying(
+                        ClaimDecision.Refused.class,
+                        refused -> {
+                            assertThat(refused.refusal().reason()).isEqualTo(reason);
+                            assertThat(refused.refusal().outcome()).isEqualTo(outcome);
+                        });
+    }
+
+    private static void assertReplayOf(OnceWorld world, RequestId call, RequestId earlier) {
+        assertThat(world.decisions.get(call))
+                .isInstanceOfSatisfying(
+                        ClaimDecision.Replay.class,
+                        replay -> assertThat(replay.answer().body()).isEqualTo(earlier.value()));
+    }
+}
--- a/core/src/test/java/org/snipeslip/core/once/OnceModelTest.java
+++ b/core/src/test/java/org/snipeslip/core/once/OnceModelTest.java
@@ -114,7 +114,7 @@
         void run() {
             int count = random.nextInt(2, 5);
             for (int i = 0; i < count; i++) {
-                nodes.add(world.add("i" + i, i % 2 == 0 ? OnceWorld.NEAR : OnceWorld.FAR));
+                nodes.add(world.add("i" + i, i % 3 == 0 ? OnceWorld.NEAR : OnceWorld.FAR));
             }
             world.shareViews();
             for (int step = 0; step < 400; step++) {
@@ -152,17 +152,17 @@
 
         private void act() {
             OnceNode node = nodes.get(random.nextInt(nodes.size()));
-            switch (random.nextInt(40)) {
+            switch (random.nextInt(80)) {
                 case 0 -> restart(node);
-                case 1 -> pause(node, 9_000);
-                case 2 -> split(node);
-                case 3 -> stop(node);
-                case 4, 5 -> world.showView(node, nodes.get(random.nextInt(nodes.size())));
-                case 6, 7, 8 -> world.showView(node, null);
-                case 9, 10 -> world.apiFaults = faults(1);
-                case 11 -> world.apiFaults = new OnceWorld.Faults(1, 0, 0, 0);
-                case 12, 13 -> world.netFaults = faults(0.5);
-                case 14, 15 -> {
+                case 1 -> stop(node);
+                case 2, 3 -> pause(node, 9_000);
+                case 4, 5, 6 -> split(node);
+                case 7, 8 -> world.showView(node, nodes.get(random.nextInt(nodes.size())));
+                case 9, 10, 11, 12, 13 -> world.showView(node, null);
+                case 14, 15, 16 -> world.apiFaults = faults(1);
+                case 17 -> world.apiFaults = new OnceWorld.Faults(1, 0, 0, 0);
+                case 18, 19, 20 -> world.netFaults = faults(0.5);
+                case 21, 22, 23, 24, 25, 26, 27 -> {
                     world.apiFaults = OnceWorld.Faults.NONE;
                     world.netFaults = OnceWorld.Faults.NONE;
                 }
@@ -190,7 +190,7 @@
 
         private String key() {
             long second = world.now / (1_000 * OnceWorld.MILLI);
-            boolean old = world.settings == LONG && random.nextInt(10) == 0;
+            boolean old = world.settings == LONG && random.nextInt(3) == 0;
             long age = old ? random.nextLong(1 + second) : random.nextInt(2);
             return "key" + (second - age) + "-" + random.nextInt(2);
         }
--- a/core/src/test/java/org/snipeslip/core/once/OnceOracle.java
+++ b/core/src/test/java/org/snipeslip/core/once/OnceOracle.java
@@ -22,6 +22,7 @@
     int replays;
     int refusedNotRun;
     int refusedUnknown;
+    long creates;
 
     Grant granted(String digest, String trace) {
         List<Grant> grants = grantsByDigest.computeIfAbsent(digest, key -> new ArrayList<>());
@@ -61,6 +62,9 @@
     }
 
     void called(StoreRequest request) {
+        if (request instanceof StoreRequest.Create) {
+            creates++;
+        }
         String text = request.toString();
         assertThat(boundDigests).as("record of a bound call in %s", text).noneMatch(text::contains);
     }
