--- a/core/src/main/java/org/snipeslip/core/once/PartitionLog.java
+++ b/core/src/main/java/org/snipeslip/core/once/PartitionLog.java
@@ -25,6 +25,7 @@
 
     private long last;
     private long base = 1;
+    private long checkpointEnd;
     private long confirmedNanos;
     private long nextWriteNanos;
     private boolean lastWasDeletion;
@@ -65,8 +66,9 @@
         return last + 1;
     }
 
-    long segmentsSinceBase() {
-        return last + 1 - base;
+    /** Segments appended since the last checkpoint ended, or since the base before the first. */
+    long segmentsSinceCheckpoint() {
+        return last + 1 - Math.max(base, checkpointEnd);
     }
 
     long base() {
@@ -237,6 +239,15 @@
         }
     }
 
+    /** Whether the log must be listed again before an append, or the append may not be trusted. */
+    boolean isStale(long nowNanos) {
+        return nowNanos - confirmedNanos > trustNanos() / 2;
+    }
+
+    private long trustNanos() {
+        return scope.settings.trustMillis() * OnceSettings.NANOS_PER_MILLI;
+    }
+
     private Step lost() {
         flight = null;
         failures = 0;
@@ -251,12 +262,14 @@
         Flight done = flight;
         flight = null;
         failures = 0;
-        long trustNanos = scope.settings.trustMillis() * OnceSettings.NANOS_PER_MILLI;
-        if (nowNanos - confirmedNanos > trustNanos) {
-            return Step.LOST;
+        if (nowNanos - confirmedNanos > trustNanos()) {
+            return Step.STALE;
         }
         last = done.sequence;
-        base = done.segment.base();
+        if (done.segment.base() > base) {
+            base = done.segment.base();
+            checkpointEnd = last;
+        }
         confirmedNanos = done.startNanos;
         segments.put(last, new Known(version, nowNanos));
         return Step.APPENDED;
@@ -289,8 +302,10 @@
         LISTED,
         /** The append took effect. */
         APPENDED,
-        /** Another writer owns the log, or the own knowledge of it is too old. */
+        /** Another writer owns the log. */
         LOST,
+        /** The append is in the log, but another writer may own it by now. */
+        STALE,
         /** The object API does not answer as it should; the call is repeated later. */
         FAILED
     }
