--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/admission/Flow.java
@@ -0,0 +1,21 @@
+package org.snipeslip.core.admission;
+
+import java.util.ArrayDeque;
+
+/** The line of one {@link FlowKey}, first in, first out. */
+final class Flow<T> {
+    final FlowKey key;
+    final int weight;
+    final ArrayDeque<Waiting<T>> waiting = new ArrayDeque<>(4);
+    double startTag;
+    long blockedInRound;
+
+    Flow(FlowKey key, int weight) {
+        this.key = key;
+        this.weight = Math.max(1, weight);
+    }
+
+    double share() {
+        return (double) waiting.size() / weight;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/admission/QueueDelay.java
@@ -0,0 +1,74 @@
+package org.snipeslip.core.admission;
+
+import org.snipeslip.core.config.CallClass;
+
+/**
+ * Controlled delay (after CoDel): a queue that was empty within the last interval may hold an
+ * interactive call for the whole interval, so that a burst is absorbed; a queue that has been
+ * standing for longer holds it for the target only, so that waiting does not use up its deadline.
+ * Batch calls may wait until their deadline.
+ */
+public final class QueueDelay {
+    private static final double GAP_WEIGHT = 0.05;
+
+    private final long targetNanos;
+    private final long intervalNanos;
+    private long standingSinceNanos;
+    private long lastTakenNanos;
+    private double gapNanos;
+
+    /**
+     * Creates the rule.
+     *
+     * @param targetNanos longest wait in a standing queue
+     * @param intervalNanos time after which a queue counts as standing
+     */
+    public QueueDelay(long targetNanos, long intervalNanos) {
+        this.targetNanos = targetNanos;
+        this.intervalNanos = intervalNanos;
+    }
+
+    /**
+     * Notes that a call is about to enter the empty queue.
+     *
+     * @param nowNanos the time
+     */
+    public void becameNonEmpty(long nowNanos) {
+        standingSinceNanos = nowNanos;
+        lastTakenNanos = nowNanos;
+    }
+
+    /**
+     * Notes that a call left the queue to be sent.
+     *
+     * @param nowNanos the time
+     */
+    public void taken(long nowNanos) {
+        gapNanos += GAP_WEIGHT * (nowNanos - lastTakenNanos - gapNanos);
+        lastTakenNanos = nowNanos;
+    }
+
+    /**
+     * Returns the longest wait.
+     *
+     * @param callClass class of the call
+     * @param nowNanos the time
+     * @return the wait in nanoseconds
+     */
+    public long maxWaitNanos(CallClass callClass, long nowNanos) {
+        if (callClass == CallClass.BATCH) {
+            return Long.MAX_VALUE;
+        }
+        return nowNanos - standingSinceNanos > intervalNanos ? targetNanos : intervalNanos;
+    }
+
+    /**
+     * Estimates the wait behind other calls from the pace at which calls left the queue.
+     *
+     * @param ahead calls ahead in the queue
+     * @return the wait in nanoseconds
+     */
+    public long expectedWaitNanos(int ahead) {
+        return (long) (ahead * gapNanos);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/admission/WaitingQueue.java
@@ -0,0 +1,217 @@
+package org.snipeslip.core.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Predicate;
+import org.snipeslip.core.config.CallClass;
+
+/**
+ * The bounded queue of one service: interactive before batch, and start-time fair queueing between
+ * organisations by weight. When it is full, the newest call of the largest line makes room.
+ *
+ * @param <T> type of the calls
+ */
+public final class WaitingQueue<T> {
+    private final int limit;
+    private final Map<FlowKey, Flow<T>> flows = new HashMap<>();
+    private final double[] virtualTime = new double[CallClass.values().length];
+    private final int[] sizes = new int[CallClass.values().length];
+    private long round;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param limit calls that may wait
+     */
+    public WaitingQueue(int limit) {
+        this.limit = limit;
+    }
+
+    /**
+     * Adds a call; {@link #victim} must have made room before.
+     *
+     * @param waiting the call
+     * @param weight share of its organisation, at least 1
+     */
+    public void add(Waiting<T> waiting, int weight) {
+        Flow<T> flow = flows.get(waiting.flow());
+        if (flow == null) {
+            flow = new Flow<>(waiting.flow(), weight);
+            flow.startTag = virtualTime[waiting.flow().callClass().ordinal()];
+            flows.put(waiting.flow(), flow);
+        }
+        flow.waiting.add(waiting);
+        sizes[waiting.flow().callClass().ordinal()]++;
+    }
+
+    /** Begins a round of dispatching: no line is blocked. */
+    public void beginRound() {
+        round++;
+    }
+
+    /**
+     * Returns the next call of the lines that are not blocked.
+     *
+     * @return the call, still in the queue, or null
+     */
+    public Waiting<T> head() {
+        Flow<T> best = null;
+        for (Flow<T> flow : flows.values()) {
+            if (flow.blockedInRound != round && (best == null || isBefore(flow, best))) {
+                best = flow;
+            }
+        }
+        return best == null ? null : best.waiting.peek();
+    }
+
+    /**
+     * Blocks the line of a call for the rest of the round.
+     *
+     * @param waiting the call that cannot be sent now
+     */
+    public void block(Waiting<T> waiting) {
+        flows.get(waiting.flow()).blockedInRound = round;
+    }
+
+    /**
+     * Takes the call that {@link #head} returned out of the queue, charging its organisation.
+     *
+     * @param waiting the call
+     */
+    public void take(Waiting<T> waiting) {
+        Flow<T> flow = flows.get(waiting.flow());
+        virtualTime[waiting.flow().callClass().ordinal()] = flow.startTag;
+        flow.startTag += 1.0 / flow.weight;
+        remove(waiting);
+    }
+
+    /**
+     * Removes a call without charging its organisation.
+     *
+     * @param waiting the call
+     * @return whether it was in the queue
+     */
+    public boolean remove(Waiting<T> waiting) {
+        Flow<T> flow = flows.get(waiting.flow());
+        if (flow == null || !flow.waiting.remove(waiting)) {
+            return false;
+        }
+        sizes[waiting.flow().callClass().ordinal()]--;
+        if (flow.waiting.isEmpty()) {
+            flows.remove(waiting.flow());
+        }
+        return true;
+    }
+
+    /**
+     * Returns the calls that a condition selects.
+     *
+     * @param condition the condition
+     * @return the calls, still in the queue
+     */
+    public List<Waiting<T>> select(Predicate<Waiting<T>> condition) {
+        List<Waiting<T>> selected = new ArrayList<>();
+        for (Flow<T> flow : flows.values()) {
+            for (Waiting<T> waiting : flow.waiting) {
+                if (condition.test(waiting)) {
+                    selected.add(waiting);
+                }
+            }
+        }
+        return selected;
+    }
+
+    /**
+     * Finds the call that must go before a new one fits: the newest of the largest line of the
+     * lowest class that waits, or the new one itself.
+     *
+     * @param arriving the new call
+     * @return the call to refuse, or null if there is room
+     */
+    public Waiting<T> victim(Waiting<T> arriving) {
+        if (size() < limit) {
+            return null;
+        }
+        CallClass lowest = size(CallClass.BATCH) > 0 ? CallClass.BATCH : CallClass.INTERACTIVE;
+        if (arriving.flow().callClass().ordinal() > lowest.ordinal()) {
+            return arriving;
+        }
+        Flow<T> largest = null;
+        for (Flow<T> flow : flows.values()) {
+            if (flow.key.callClass() == lowest
+                    && (largest == null || flow.share() > largest.share())) {
+                largest = flow;
+            }
+        }
+        if (largest == null) {
+            return arriving;
+        }
+        Flow<T> own = flows.get(arriving.flow());
+        boolean ownIsLargest =
+                arriving.flow().callClass() == lowest
+                        && own != null
+                        && own.share() >= largest.share();
+        return ownIsLargest ? arriving : largest.waiting.peekLast();
+    }
+
+    /**
+     * Tells whether a call waits in the largest line of its class while other organisations wait in
+     * that class too, so that a refusal is a matter of shares.
+     *
+     * @param key names the line
+     * @return true if the organisation holds more than its share of the queue
+     */
+    public boolean isOverShare(FlowKey key) {
+        Flow<T> own = flows.get(key);
+        boolean shared = false;
+        for (Flow<T> flow : flows.values()) {
+            if (own == null || flow.key.callClass() != key.callClass()) {
+                continue;
+            }
+            if (flow.share() > own.share()) {
+                return false;
+            }
+            shared |= !Objects.equals(flow.key.organisation(), key.organisation());
+        }
+        return shared;
+    }
+
+    /**
+     * Counts the calls that would be sent before a new one of a class.
+     *
+     * @param callClass the class
+     * @return the calls of this and higher classes
+     */
+    public int ahead(CallClass callClass) {
+        return callClass == CallClass.INTERACTIVE ? size(CallClass.INTERACTIVE) : size();
+    }
+
+    /**
+     * Counts the waiting calls.
+     *
+     * @return the number
+     */
+    public int size() {
+        return size(CallClass.INTERACTIVE) + size(CallClass.BATCH);
+    }
+
+    private int size(CallClass callClass) {
+        return sizes[callClass.ordinal()];
+    }
+
+    /** Ties are broken by age, so that the order does not depend on the hash order. */
+    private boolean isBefore(Flow<T> flow, Flow<T> other) {
+        int byClass = flow.key.callClass().compareTo(other.key.callClass());
+        if (byClass != 0) {
+            return byClass < 0;
+        }
+        int byTag = Double.compare(flow.startTag, other.startTag);
+        if (byTag != 0) {
+            return byTag < 0;
+        }
+        return flow.waiting.peek().enqueuedNanos() < other.waiting.peek().enqueuedNanos();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/call/CallEnds.java
@@ -0,0 +1,53 @@
+package org.snipeslip.core.call;
+
+import java.util.Set;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.instance.RecordableAnswer;
+import org.snipeslip.core.once.ClaimEnd;
+import org.snipeslip.core.peer.ClaimMessage;
+
+/**
+ * Ends calls: the typed refusal that is true for what was sent, and exactly one end of a granted
+ * claim.
+ */
+final class CallEnds {
+    private CallEnds() {}
+
+    static Refusal refusal(CallState call, RefusalReason reason, long retryAfterMillis) {
+        Outcome outcome = call.mayHaveStarted ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        return new Refusal(reason, outcome, call.bytesSent, retryAfterMillis, Set.of());
+    }
+
+    static void refuse(CallState call, Refusal refusal, Outbox outbox) {
+        outbox.add(new Action.RefuseCaller(call.request, refusal));
+        endUnanswered(call, outbox);
+    }
+
+    /** Ends the claim of a call that got no whole answer. */
+    static void endUnanswered(CallState call, Outbox outbox) {
+        ClaimMessage.End end =
+                call.mayHaveStarted ? ClaimMessage.End.UNKNOWN : ClaimMessage.End.NOT_RUN;
+        endClaim(call, end, RecordableAnswer.NONE, outbox);
+    }
+
+    static void endAnswered(CallState call, RecordableAnswer answer, Outbox outbox) {
+        endClaim(call, ClaimMessage.End.ANSWERED, answer, outbox);
+    }
+
+    static RefusalReason reasonOf(TryFailure failure) {
+        return switch (failure) {
+            case REFUSED_NOT_RUN -> RefusalReason.BACKEND_SERVER_REFUSED;
+            case TIMED_OUT -> RefusalReason.DEADLINE_EXCEEDED;
+            default -> RefusalReason.BACKEND_SERVER_FAILED;
+        };
+    }
+
+    private static void endClaim(
+            CallState call, ClaimMessage.End end, RecordableAnswer answer, Outbox outbox) {
+        if (call.claimGranted && !call.claimEnded) {
+            call.claimEnded = true;
+            outbox.end(new ClaimEnd(call.request, end, answer));
+        }
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -4,16 +4,21 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.Organisation;
 import org.snipeslip.core.config.Route;
+import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.EngineName;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.measure.MeasureCounters;
+import org.snipeslip.core.measure.MeasurementBudget;
 import org.snipeslip.core.once.ClaimDecision;
 import org.snipeslip.core.routing.HomeRegions;
 import org.snipeslip.core.routing.RouteTable;
@@ -26,11 +31,11 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final CallSettings settings;
-    private final RegionId region;
+    private final InstancePlace place;
     private final SplittableRandom random;
+    private final MeasurementBudget budget;
+    private final OpenCalls openCalls = new OpenCalls();
     private final ConcurrentHashMap<ServiceId, ServiceShard> shards = new ConcurrentHashMap<>();
-    private final ConcurrentHashMap<RequestId, ServiceShard> shardByCall =
-            new ConcurrentHashMap<>();
 
     private volatile View view = new View(ConfigSet.EMPTY, new RouteTable(ConfigSet.EMPTY));
 
@@ -39,12 +44,15 @@
      *
      * @param settings its settings
      * @param region the region of this instance
+     * @param failureDomain the failure domain of this instance, or null if unknown
      * @param seed seed of the random choices
      */
-    public CallEngine(CallSettings settings, RegionId region, long seed) {
+    public CallEngine(
+            CallSettings settings, RegionId region, FailureDomainId failureDomain, long seed) {
         this.settings = settings;
-        this.region = region;
+        this.place = new InstancePlace(region, failureDomain);
         this.random = new SplittableRandom(seed);
+        this.budget = new MeasurementBudget(settings.measure());
     }
 
     /**
@@ -55,11 +63,18 @@
      * @param outbox takes the actions
      */
     public synchronized void configure(ConfigSet config, long nowNanos, Outbox outbox) {
-        for (ServiceId service : config.services().keySet()) {
-            shards.computeIfAbsent(service, id -> new ServiceShard(id, settings, random.split()));
+        boolean firstConfig = view.config.generation().number() == 0;
+        // In order of names, because each new shard takes its seed from the same source.
+        for (ServiceId service : new TreeSet<>(config.services().keySet())) {
+            shards.computeIfAbsent(service, this::newShard);
         }
-        shards.values().forEach(shard -> shard.configure(config));
+        shards.values().forEach(shard -> shard.configure(config, firstConfig, nowNanos, outbox));
         view = new View(config, new RouteTable(config));
+        shards.entrySet()
+                .removeIf(
+                        entry ->
+                                !config.services().containsKey(entry.getKey())
+                                        && entry.getValue().isIdle());
     }
 
     /**
@@ -70,13 +85,9 @@
      * @param outbox takes the actions
      */
     public void claimDecided(ClaimDecision decision, long nowNanos, Outbox outbox) {
-        ServiceShard shard = shardByCall.get(decision.request());
-        if (shard == null) {
-            return;
-        }
-        shard.claimDecided(decision, nowNanos, outbox);
-        if (!shard.holds(decision.request())) {
-            shardByCall.remove(decision.request());
+        ServiceShard shard = openCalls.shardOf(decision.request());
+        if (shard != null) {
+            shard.claimDecided(decision, nowNanos, outbox);
         }
     }
 
@@ -86,7 +97,21 @@
      * @return the number of calls without a complete answer
      */
     public int openCalls() {
-        return shardByCall.size();
+        return openCalls.size();
+    }
+
+    /** Counts the tries in flight of all services. */
+    int inFlight() {
+        return shards.values().stream().mapToInt(ServiceShard::inFlight).sum();
+    }
+
+    /**
+     * Reads the counters of the measurement budget.
+     *
+     * @return the counters
+     */
+    public MeasureCounters measureCounters() {
+        return budget.counters();
     }
 
     /**
@@ -98,24 +123,33 @@
      */
     public void handle(Event event, long nowNanos, Outbox outbox) {
         switch (event) {
-            case Event.CallArrived arrived -> arrive(arrived, nowNanos, outbox);
-            case Event.TryAnswered answered -> {
-                ServiceShard shard = shardByCall.get(answered.tryId().request());
+            case Event.CallArrived e -> arrive(e, nowNanos, outbox);
+            case Event.TryAnswered e -> answered(e, nowNanos, outbox);
+            case Event.TryCompleted e -> completed(e, nowNanos, outbox);
+            case Event.TryFailed e -> failed(e, nowNanos, outbox);
+            case Event.CallerGone e -> {
+                ServiceShard shard = openCalls.shardOf(e.request());
+                if (shard != null) {
+                    shard.callerGone(e.request(), nowNanos, outbox);
+                }
+            }
+            case Event.TimerFired e when e.timer().owner() == EngineName.CALL -> {
+                ServiceShard shard = shards.get(new ServiceId(e.timer().key()));
                 if (shard != null) {
-                    shard.answered(answered.tryId(), answered.load(), nowNanos, outbox);
+                    shard.timerFired(nowNanos, outbox);
                 }
             }
-            case Event.TryCompleted completed -> {
-                ServiceShard shard = shardByCall.get(completed.tryId().request());
-                if (shard != null && shard.completed(completed.tryId())) {
-                    shardByCall.remove(completed.tryId().request());
+            case Event.ProbeAnswered e -> {
+                ServiceShard shard = shards.get(e.service());
+                if (shard != null) {
+                    shard.probeAnswered(
+                            e.backendServer(), e.load(), e.sizeBytes(), nowNanos, outbox);
                 }
             }
-            case Event.TryFailed failed -> fail(failed, nowNanos, outbox);
-            case Event.CallerGone gone -> {
-                ServiceShard shard = shardByCall.remove(gone.request());
+            case Event.ProbeFailed e -> {
+                ServiceShard shard = shards.get(e.service());
                 if (shard != null) {
-                    shard.callerGone(gone.request(), outbox);
+                    shard.probeFailed(e.backendServer());
                 }
             }
             default -> {
@@ -124,15 +158,28 @@
         }
     }
 
-    private void fail(Event.TryFailed failed, long nowNanos, Outbox outbox) {
-        RequestId request = failed.tryId().request();
-        ServiceShard shard = shardByCall.get(request);
-        if (shard == null) {
-            return;
+    private ServiceShard newShard(ServiceId service) {
+        return new ServiceShard(service, settings, place, openCalls, budget, random.split());
+    }
+
+    private void answered(Event.TryAnswered event, long nowNanos, Outbox outbox) {
+        ServiceShard shard = openCalls.shardOf(event.tryId().request());
+        if (shard != null) {
+            shard.answered(event.tryId(), event.status(), event.load(), nowNanos, outbox);
+        }
+    }
+
+    private void completed(Event.TryCompleted event, long nowNanos, Outbox outbox) {
+        ServiceShard shard = openCalls.shardOf(event.tryId().request());
+        if (shard != null) {
+            shard.completed(event.tryId(), event.recordable(), nowNanos, outbox);
         }
-        shard.failed(failed.tryId(), failed.failure(), failed.load(), nowNanos, outbox);
-        if (!shard.holds(request)) {
-            shardByCall.remove(request);
+    }
+
+    private void failed(Event.TryFailed event, long nowNanos, Outbox outbox) {
+        ServiceShard shard = openCalls.shardOf(event.tryId().request());
+        if (shard != null) {
+            shard.failed(event.tryId(), event.failure(), event.load(), nowNanos, outbox);
         }
     }
 
@@ -147,6 +194,12 @@
             return;
         }
         Route route = matched.get();
+        // Before the look at the organisation: its refusal is recorded, which is not allowed here.
+        HomeRegions ofRoute = HomeRegions.of(route, null);
+        if (!ofRoute.allows(place.region())) {
+            refuseOutside(arrived.request(), ofRoute.regions(), outbox);
+            return;
+        }
         Organisation organisation = null;
         if (head.organisation() != null) {
             organisation = current.config.organisations().get(head.organisation());
@@ -160,24 +213,21 @@
             }
         }
         HomeRegions homeRegions = HomeRegions.of(route, organisation);
-        if (!homeRegions.allows(region)) {
+        if (!homeRegions.allows(place.region())) {
             refuseOutside(arrived.request(), homeRegions.regions(), outbox);
             return;
         }
         if (head.depth() > settings.maxDepth()) {
-            refuse(
-                    arrived.request(),
-                    route,
-                    Refusal.notRun(RefusalReason.DEADLINE_EXCEEDED),
-                    outbox);
+            refuse(arrived.request(), route, Refusal.notRun(RefusalReason.TOO_DEEP), outbox);
             return;
         }
-        submit(arrived, route, homeRegions, nowNanos, outbox);
+        submit(arrived, route, organisation, homeRegions, nowNanos, outbox);
     }
 
     private void submit(
             Event.CallArrived arrived,
             Route route,
+            Organisation organisation,
             HomeRegions homeRegions,
             long nowNanos,
             Outbox outbox) {
@@ -189,17 +239,25 @@
                         : limitNanos;
         CallState call =
                 new CallState(
-                        arrived.request(), head, route, homeRegions, nowNanos + remainingNanos);
+                        arrived.request(),
+                        head,
+                        route,
+                        homeRegions,
+                        organisation == null ? 1 : organisation.weight(),
+                        nowNanos + remainingNanos);
         call.retriesLeft =
                 head.retriesLeft() >= 0
                         ? Math.min(head.retriesLeft(), settings.maxTries() - 1)
                         : settings.maxTries() - 1;
         ServiceShard shard = shards.get(route.service());
-        shardByCall.put(arrived.request(), shard);
-        shard.arrive(call, nowNanos, outbox);
-        if (!shard.holds(arrived.request())) {
-            shardByCall.remove(arrived.request());
+        if (shard == null) {
+            // A newer configuration removed the service meanwhile.
+            Refusal refusal = Refusal.notRun(RefusalReason.NO_BACKEND_SERVER);
+            refuse(arrived.request(), route, refusal, outbox);
+            return;
         }
+        openCalls.add(arrived.request(), shard);
+        shard.arrive(call, nowNanos, outbox);
     }
 
     /** Leaves no decision record: nothing of the call may be kept outside its home regions. */
--- a/core/src/main/java/org/snipeslip/core/call/CallState.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallState.java
@@ -1,9 +1,9 @@
 package org.snipeslip.core.call;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.ArrayList;
+import java.util.List;
+import org.snipeslip.core.admission.Waiting;
 import org.snipeslip.core.config.Route;
-import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.routing.HomeRegions;
@@ -14,34 +14,78 @@
     final CallHead head;
     final Route route;
     final HomeRegions homeRegions;
+    final int weight;
     final long deadlineNanos;
-    final Set<BackendServerId> tried = new HashSet<>();
+    final boolean idempotent;
+
+    /** All tries, ended ones included, so that no server is tried twice. */
+    final List<OpenTry> tries = new ArrayList<>(2);
+
+    /** The try whose head was relayed, or null. */
+    OpenTry winner;
+
+    /** The entry in the queue, or null. */
+    Waiting<CallState> waiting;
+
+    /** Why the last try failed, or null. */
+    TryFailure lastFailure;
 
-    int tries;
     int retriesLeft;
-    TryId current;
-    BackendServerId currentServer;
-    boolean headRelayed;
+    boolean mayHaveStarted;
+    boolean bytesSent;
+    boolean awaitsClaim;
     boolean claimGranted;
+    boolean claimEnded;
+    boolean callerGone;
+    boolean ended;
 
     CallState(
             RequestId request,
             CallHead head,
             Route route,
             HomeRegions homeRegions,
+            int weight,
             long deadlineNanos) {
         this.request = request;
         this.head = head;
         this.route = route;
         this.homeRegions = homeRegions;
+        this.weight = weight;
         this.deadlineNanos = deadlineNanos;
+        this.idempotent = route.isIdempotent(head.method());
     }
 
     boolean needsClaim() {
-        return !isIdempotent() && head.idempotencyKey() != null;
+        return !idempotent && head.idempotencyKey() != null;
+    }
+
+    boolean isAnsweredOrEnded() {
+        return ended || winner != null;
+    }
+
+    OpenTry openTry(TryId id) {
+        for (OpenTry each : tries) {
+            if (each.open && each.id.equals(id)) {
+                return each;
+            }
+        }
+        return null;
+    }
+
+    int openTries() {
+        int open = 0;
+        for (OpenTry each : tries) {
+            open += each.open ? 1 : 0;
+        }
+        return open;
     }
 
-    boolean isIdempotent() {
-        return route.isIdempotent(head.method());
+    boolean wasTriedAt(ServerState server) {
+        for (int i = 0; i < tries.size(); i++) {
+            if (tries.get(i).server == server) {
+                return true;
+            }
+        }
+        return false;
     }
 }
--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
@@ -16,7 +16,7 @@
  * @param tryNumber number of the try, or 0 if none was sent
  * @param chosen the backend server, or null
  * @param refusal the refusal, or null
- * @param candidates the backend servers looked at, bounded
+ * @param candidates the backend servers looked at, the chosen one first, at most 16
  */
 public record DecisionRecord(
         RequestId request,
@@ -27,9 +27,11 @@
         BackendServerId chosen,
         Refusal refusal,
         List<Candidate> candidates) {
-    /** Copies the list. */
+    /** Copies the list unless it is immutable by construction. */
     public DecisionRecord {
-        candidates = List.copyOf(candidates);
+        if (!(candidates instanceof CandidateSnapshot)) {
+            candidates = List.copyOf(candidates);
+        }
     }
 
     /** What was decided. */
@@ -56,7 +58,7 @@
         DRAINING,
         /** It stands outside the home regions. */
         OUTSIDE_HOME_REGIONS,
-        /** Its concurrency limit is reached. */
+        /** Its concurrency limit is reached, it is being warmed up, or it reports a queue. */
         AT_LIMIT,
         /** The call was already tried there. */
         ALREADY_TRIED
@@ -67,7 +69,7 @@
      *
      * @param backendServer the backend server
      * @param exclusion why it was not eligible
-     * @param scoreNanos expected time to an answer; lower is better
+     * @param scoreNanos expected time to an answer, lower is better, or -1 if not computed
      * @param inFlight calls of this instance in flight to it
      * @param limit its concurrency limit at this instance
      * @param reportedInFlight load it reported, or -1
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/call/Decisions.java
@@ -0,0 +1,53 @@
+package org.snipeslip.core.call;
+
+import java.util.List;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.ServiceId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Outbox;
+
+/** Records the decisions of one service. */
+final class Decisions {
+    private final ServiceId service;
+
+    Decisions(ServiceId service) {
+        this.service = service;
+    }
+
+    void sent(
+            CallState call,
+            DecisionRecord.Kind kind,
+            BackendServerId chosen,
+            List<DecisionRecord.Candidate> candidates,
+            Outbox outbox) {
+        record(call, kind, chosen, null, candidates, outbox);
+    }
+
+    void queued(CallState call, List<DecisionRecord.Candidate> candidates, Outbox outbox) {
+        record(call, DecisionRecord.Kind.QUEUED, null, null, candidates, outbox);
+    }
+
+    void refused(CallState call, Refusal refusal, Outbox outbox) {
+        record(call, DecisionRecord.Kind.REFUSED, null, refusal, List.of(), outbox);
+    }
+
+    private void record(
+            CallState call,
+            DecisionRecord.Kind kind,
+            BackendServerId chosen,
+            Refusal refusal,
+            List<DecisionRecord.Candidate> candidates,
+            Outbox outbox) {
+        outbox.add(
+                new Action.RecordDecision(
+                        new DecisionRecord(
+                                call.request,
+                                kind,
+                                call.route.id(),
+                                service,
+                                call.tries.size(),
+                                chosen,
+                                refusal,
+                                candidates)));
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -14,6 +14,8 @@
     OVERLOADED(503),
     /** The organisation used up its share while others wait. */
     ORGANISATION_OVER_SHARE(429),
+    /** The call passed through more load balancers than allowed; probably a loop. */
+    TOO_DEEP(508),
     /** The deadline passed. */
     DEADLINE_EXCEEDED(504),
     /** The connection to the backend server failed. */
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -0,0 +1,242 @@
+package org.snipeslip.core.call;
+
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.snipeslip.core.call.DecisionRecord.Exclusion;
+import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.config.FailureDomain;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.load.Distance;
+import org.snipeslip.core.load.ServiceLoad;
+import org.snipeslip.core.selection.Candidates;
+import org.snipeslip.core.selection.SelectionPolicy;
+
+/** The backend servers of one service and the choice among them. Guarded by the shard's lock. */
+final class ServerPool {
+    /**
+     * Places kept for each distance when there are more servers than candidates, so that nearer
+     * servers never hide farther ones.
+     */
+    private static final int[] RESERVED = {12, 8, 4};
+
+    /** Servers looked at per distance once a candidate is found. */
+    private static final int SCAN_LIMIT = 96;
+
+    private static final int MAX_EXCLUDED = 4;
+
+    private final CallSettings settings;
+    private final InstancePlace place;
+    private final RandomGenerator random;
+    private final SelectionPolicy policy;
+    private final boolean adaptive;
+    private final ServiceLoad serviceLoad = new ServiceLoad();
+    private final Map<BackendServerId, ServerState> byId = new HashMap<>();
+
+    /** Removed servers with calls in flight, which count again if the server is added again. */
+    private final Map<BackendServerId, ServerState> detached = new HashMap<>();
+
+    private final Candidates eligible = new Candidates();
+    private final ServerState[] excluded = new ServerState[MAX_EXCLUDED];
+    private final Exclusion[] exclusions = new Exclusion[MAX_EXCLUDED];
+
+    private ServerState[] byDistance = new ServerState[0];
+    private ServerState[] eligibleStates = new ServerState[0];
+    private final int[] tierStart = new int[Distance.values().length + 1];
+    private int excludedCount;
+    private boolean busy;
+    private int chosen = -1;
+
+    ServerPool(CallSettings settings, InstancePlace place, RandomGenerator random) {
+        this.settings = settings;
+        this.place = place;
+        this.random = random;
+        this.policy = SelectionPolicy.of(settings.policy());
+        this.adaptive = settings.policy().isAdaptive();
+    }
+
+    /**
+     * Takes the configured servers. Removed ones stay reachable from their open tries.
+     *
+     * @param firstConfig whether the process just started and cannot know which servers are new
+     */
+    void configure(
+            List<BackendServer> servers, ConfigSet config, boolean firstConfig, long nowNanos) {
+        Map<BackendServerId, ServerState> before = new HashMap<>(byId);
+        byId.clear();
+        for (BackendServer server : servers) {
+            FailureDomain domain = config.failureDomains().get(server.failureDomain());
+            ServerState known = before.remove(server.id());
+            boolean wasInService = known != null && known.isInService();
+            if (known == null) {
+                known = detached.remove(server.id());
+            }
+            ServerState state = known == null ? new ServerState(serviceLoad) : known;
+            state.configure(server, domain, place.distanceTo(domain), settings.instances());
+            if (known == null && firstConfig) {
+                state.warmUp.startProbablyWarm();
+            } else if (!wasInService && state.isInService()) {
+                state.warmUp.startCold(warmUpPauseNanos(), nowNanos);
+            }
+            byId.put(server.id(), state);
+        }
+        detached.putAll(before);
+        detached.values().removeIf(state -> state.load.inFlight() == 0);
+        byDistance = byId.values().toArray(ServerState[]::new);
+        Comparator<ServerState> near = Comparator.comparing(state -> state.load.distance());
+        Arrays.sort(byDistance, near.thenComparing(state -> state.server.id()));
+        eligibleStates = new ServerState[byDistance.length];
+        for (Distance distance : Distance.values()) {
+            int next = tierStart[distance.ordinal()];
+            while (next < byDistance.length && byDistance[next].load.distance() == distance) {
+                next++;
+            }
+            tierStart[distance.ordinal() + 1] = next;
+        }
+    }
+
+    /**
+     * Chooses a server for the next try of a call; its candidates stay until the next choice.
+     *
+     * @return the server, or null if none is eligible
+     */
+    ServerState choose(CallState call, long nowNanos) {
+        eligible.clear();
+        excludedCount = 0;
+        busy = false;
+        chosen = -1;
+        int bound = policy.candidateLimit();
+        for (int tier = 0; tier < RESERVED.length; tier++) {
+            collect(tier, bound - reservedBeyond(tier), call, nowNanos);
+        }
+        if (eligible.size() == 0) {
+            return null;
+        }
+        chosen = policy.choose(eligible, nowNanos, random);
+        return eligibleStates[chosen];
+    }
+
+    /**
+     * Tells whether the last choice failed only because servers have no room now.
+     *
+     * @return true if waiting may help
+     */
+    boolean isBusy() {
+        return busy;
+    }
+
+    /** Copies the candidates of the last choice, the chosen one first. */
+    CandidateSnapshot snapshot(long nowNanos) {
+        int size = Math.min(CandidateSnapshot.MAX_SIZE, eligible.size() + excludedCount);
+        int fromEligible = size - excludedCount;
+        CandidateSnapshot snapshot = new CandidateSnapshot(size);
+        if (chosen >= 0) {
+            putEligible(snapshot, chosen, nowNanos);
+        }
+        for (int i = 0; i < eligible.size() && snapshot.size() < fromEligible; i++) {
+            if (i != chosen) {
+                putEligible(snapshot, i, nowNanos);
+            }
+        }
+        for (int i = 0; i < excludedCount; i++) {
+            int limit = excluded[i].limitNow(adaptive, nowNanos);
+            snapshot.put(excluded[i], exclusions[i], -1, limit, nowNanos);
+        }
+        return snapshot;
+    }
+
+    /** Counts the own calls in flight, those to removed servers included. */
+    int inFlight() {
+        int sum = 0;
+        for (ServerState state : byDistance) {
+            sum += state.load.inFlight();
+        }
+        for (ServerState state : detached.values()) {
+            sum += state.load.inFlight();
+        }
+        return sum;
+    }
+
+    ServerState find(BackendServerId id) {
+        return byId.get(id);
+    }
+
+    ServerState[] all() {
+        return byDistance;
+    }
+
+    ServiceLoad serviceLoad() {
+        return serviceLoad;
+    }
+
+    boolean isAdaptive() {
+        return adaptive;
+    }
+
+    /** On average one call of all instances together in the time of one response. */
+    long warmUpPauseNanos() {
+        double mean = 2.0 * settings.instances() * serviceLoad.meanNanos();
+        return (long) (random.nextDouble() * mean);
+    }
+
+    private void putEligible(CandidateSnapshot snapshot, int index, long nowNanos) {
+        ServerState state = eligibleStates[index];
+        int limit = state.limitNow(adaptive, nowNanos);
+        snapshot.put(state, Exclusion.NONE, eligible.score(index), limit, nowNanos);
+    }
+
+    private int reservedBeyond(int tier) {
+        int reserved = 0;
+        for (int i = tier + 1; i < RESERVED.length; i++) {
+            reserved += Math.min(RESERVED[i], tierStart[i + 1] - tierStart[i]);
+        }
+        return reserved;
+    }
+
+    private void collect(int tier, int bound, CallState call, long nowNanos) {
+        int from = tierStart[tier];
+        int size = tierStart[tier + 1] - from;
+        int offset = size > bound ? random.nextInt(size) : 0;
+        for (int i = 0; i < size && eligible.size() < bound; i++) {
+            if (i >= SCAN_LIMIT && eligible.size() > 0) {
+                return;
+            }
+            int at = offset + i;
+            consider(byDistance[from + (at < size ? at : at - size)], call, nowNanos);
+        }
+    }
+
+    private void consider(ServerState state, CallState call, long nowNanos) {
+        Exclusion exclusion = exclusion(state, call, nowNanos);
+        if (exclusion == Exclusion.NONE) {
+            eligibleStates[eligible.size()] = state;
+            eligible.add(state.load);
+            return;
+        }
+        busy |= exclusion == Exclusion.AT_LIMIT;
+        if (excludedCount < MAX_EXCLUDED) {
+            excluded[excludedCount] = state;
+            exclusions[excludedCount++] = exclusion;
+        }
+    }
+
+    private Exclusion exclusion(ServerState state, CallState call, long nowNanos) {
+        if (!call.homeRegions.allows(state.region)) {
+            return Exclusion.OUTSIDE_HOME_REGIONS;
+        }
+        if (!state.failureDomainInService) {
+            return Exclusion.FAILURE_DOMAIN_OUT;
+        }
+        if (state.isDraining()) {
+            return Exclusion.DRAINING;
+        }
+        if (call.wasTriedAt(state)) {
+            return Exclusion.ALREADY_TRIED;
+        }
+        return state.hasRoom(adaptive, nowNanos) ? Exclusion.NONE : Exclusion.AT_LIMIT;
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -1,19 +1,77 @@
 package org.snipeslip.core.call;
 
+import org.snipeslip.core.admission.ConcurrencyLimit;
 import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.config.FailureDomain;
 import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.load.Distance;
+import org.snipeslip.core.load.ServerLoad;
+import org.snipeslip.core.load.ServiceLoad;
+import org.snipeslip.core.warmup.WarmUp;
 
 /** What one instance knows of one backend server. Guarded by the lock of its shard. */
 final class ServerState {
+    /**
+     * A server that reports this many calls per slot has a queue; a further call waits at this
+     * instance, where it keeps its priority and can go to another server.
+     */
+    private static final int FULL_CALLS_PER_SLOT = 2;
+
+    /** A report says that a server is full for this many mean latencies. */
+    private static final int FULL_LATENCIES = 3;
+
+    final ServerLoad load;
+    final ConcurrencyLimit limit = new ConcurrencyLimit();
+    final WarmUp warmUp = new WarmUp();
+
     BackendServer server;
     RegionId region;
     boolean failureDomainInService;
     boolean drainReported;
-    int inFlight;
-    LoadReport load = LoadReport.UNKNOWN;
-    long loadAtNanos;
+    boolean coldReported;
+
+    private final ServiceLoad service;
+    private int connectionShare;
+
+    ServerState(ServiceLoad service) {
+        this.service = service;
+        this.load = new ServerLoad(service);
+    }
+
+    void configure(
+            BackendServer newServer, FailureDomain domain, Distance distance, int instances) {
+        server = newServer;
+        region = domain.region();
+        failureDomainInService = domain.inService();
+        load.configure(distance, newServer.slots());
+        limit.configure(newServer.slots(), newServer.connectionLimit(), instances);
+        connectionShare = ConcurrencyLimit.connectionShare(newServer.connectionLimit(), instances);
+    }
 
     boolean isDraining() {
         return server.draining() || drainReported;
     }
+
+    boolean isInService() {
+        return failureDomainInService && !isDraining();
+    }
+
+    /** Calls that may be in flight now; with a baseline policy only the connections limit them. */
+    int limitNow(boolean adaptive, long nowNanos) {
+        return adaptive ? Math.min(limit.limit(), warmUp.limit(nowNanos)) : connectionShare;
+    }
+
+    boolean hasRoom(boolean adaptive, long nowNanos) {
+        return load.inFlight() < limitNow(adaptive, nowNanos)
+                && !(adaptive && isFullByReport(nowNanos));
+    }
+
+    private boolean isFullByReport(long nowNanos) {
+        long age = load.reportAgeNanos(nowNanos);
+        if (age < 0 || age > FULL_LATENCIES * service.meanNanos()) {
+            return false;
+        }
+        int perSlot = warmUp.isCold() ? 1 : FULL_CALLS_PER_SLOT;
+        return load.estimatedInFlight(nowNanos) >= perSlot * load.slots();
+    }
 }
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -1,13 +1,10 @@
 package org.snipeslip.core.call;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
-import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
-import org.snipeslip.core.config.FailureDomain;
 import org.snipeslip.core.config.Service;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.RequestId;
@@ -15,49 +12,78 @@
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.instance.RecordableAnswer;
+import org.snipeslip.core.measure.MeasurementBudget;
 import org.snipeslip.core.once.ClaimDecision;
 import org.snipeslip.core.once.ClaimRequest;
+import org.snipeslip.core.retry.RetryBudget;
+import org.snipeslip.core.retry.RetryRule;
 
 /**
  * The calls and backend servers of one service. Every method takes the shard's own lock, which is
  * the last but one in the lock order; no other shard is locked meanwhile.
  */
 final class ServiceShard {
+    /** Lines that a dispatch passes over because no server has room for them. */
+    private static final int MAX_BLOCKED = 8;
+
     private final ServiceId service;
     private final CallSettings settings;
-    private final RandomGenerator random;
-    private final Map<BackendServerId, ServerState> servers = new HashMap<>();
+    private final OpenCalls openCalls;
+    private final ServerPool pool;
+    private final ServerFeedback feedback;
+    private final ShardQueue queue;
+    private final HedgeQueue hedges = new HedgeQueue();
+    private final RetryBudget retries;
+    private final ShardProbes probes;
+    private final ShardTimer timer;
+    private final Decisions decisions;
     private final Map<RequestId, CallState> calls = new HashMap<>();
 
-    ServiceShard(ServiceId service, CallSettings settings, RandomGenerator random) {
+    ServiceShard(
+            ServiceId service,
+            CallSettings settings,
+            InstancePlace place,
+            OpenCalls openCalls,
+            MeasurementBudget budget,
+            RandomGenerator random) {
         this.service = service;
         this.settings = settings;
-        this.random = random;
+        this.openCalls = openCalls;
+        this.pool = new ServerPool(settings, place, random);
+        this.feedback = new ServerFeedback(pool);
+        this.queue = new ShardQueue(settings, random);
+        this.retries = new RetryBudget(settings.retryPercent());
+        this.probes = new ShardProbes(service, pool, settings.measure(), budget);
+        this.timer = new ShardTimer(service);
+        this.decisions = new Decisions(service);
     }
 
-    synchronized void configure(ConfigSet config) {
+    synchronized void configure(
+            ConfigSet config, boolean firstConfig, long nowNanos, Outbox outbox) {
         Service object = config.services().get(service);
-        List<BackendServer> configured = object == null ? List.of() : object.backendServers();
-        Map<BackendServerId, ServerState> kept = new HashMap<>();
-        for (BackendServer server : configured) {
-            ServerState state = servers.getOrDefault(server.id(), new ServerState());
-            FailureDomain domain = config.failureDomains().get(server.failureDomain());
-            state.server = server;
-            state.region = domain.region();
-            state.failureDomainInService = domain.inService();
-            kept.put(server.id(), state);
-        }
-        servers.clear();
-        servers.putAll(kept);
+        pool.configure(
+                object == null ? List.of() : object.backendServers(),
+                config,
+                firstConfig,
+                nowNanos);
+        probes.configure(config, nowNanos);
+        settle(nowNanos, outbox);
     }
 
-    synchronized int openCalls() {
-        return calls.size();
+    synchronized boolean isIdle() {
+        return calls.isEmpty();
+    }
+
+    synchronized int inFlight() {
+        return pool.inFlight();
     }
 
     synchronized void arrive(CallState call, long nowNanos, Outbox outbox) {
         calls.put(call.request, call);
+        retries.earn();
         if (call.needsClaim()) {
+            call.awaitsClaim = true;
             outbox.claim(
                     new ClaimRequest(
                             call.request,
@@ -68,198 +94,303 @@
                             call.homeRegions,
                             call.deadlineNanos));
         } else {
-            sendTry(call, RefusalReason.NO_BACKEND_SERVER, nowNanos, outbox);
+            admit(call, nowNanos, outbox);
         }
+        settle(nowNanos, outbox);
     }
 
     synchronized void claimDecided(ClaimDecision decision, long nowNanos, Outbox outbox) {
         CallState call = calls.get(decision.request());
-        if (call == null) {
+        if (call == null || !call.awaitsClaim) {
+            return;
+        }
+        call.awaitsClaim = false;
+        call.claimGranted = decision instanceof ClaimDecision.Granted;
+        if (call.callerGone) {
+            end(call);
+            CallEnds.endUnanswered(call, outbox);
             return;
         }
         switch (decision) {
-            case ClaimDecision.Granted granted -> {
-                call.claimGranted = true;
-                sendTry(call, RefusalReason.NO_BACKEND_SERVER, nowNanos, outbox);
-            }
+            case ClaimDecision.Granted granted -> admit(call, nowNanos, outbox);
             case ClaimDecision.Replay replay -> {
-                calls.remove(call.request);
+                end(call);
                 outbox.add(new Action.ReplayAnswer(call.request, replay.answer()));
             }
             case ClaimDecision.Refused refused -> refuse(call, refused.refusal(), outbox);
         }
+        settle(nowNanos, outbox);
     }
 
-    synchronized void answered(TryId tryId, LoadReport load, long nowNanos, Outbox outbox) {
-        CallState call = currentCall(tryId);
-        if (call == null) {
+    synchronized void answered(
+            TryId tryId, int status, LoadReport load, long nowNanos, Outbox outbox) {
+        CallState call = calls.get(tryId.request());
+        OpenTry each = call == null ? null : call.openTry(tryId);
+        if (each == null || call.winner != null) {
             return;
         }
-        noteLoad(call.currentServer, load, nowNanos);
-        call.headRelayed = true;
+        hedges.observe(nowNanos - each.sentAtNanos);
+        feedback.answered(each, status, load, nowNanos);
+        call.winner = each;
         outbox.add(new Action.RelayAnswer(tryId));
+        cancelOpenTries(call, nowNanos, outbox);
+        settle(nowNanos, outbox);
     }
 
-    synchronized boolean completed(TryId tryId) {
-        CallState call = currentCall(tryId);
-        if (call == null) {
-            return false;
+    synchronized void completed(
+            TryId tryId, RecordableAnswer answer, long nowNanos, Outbox outbox) {
+        CallState call = calls.get(tryId.request());
+        OpenTry each = call == null ? null : call.openTry(tryId);
+        if (each == null || each != call.winner) {
+            return;
         }
+        release(each);
         end(call);
-        return true;
+        CallEnds.endAnswered(call, answer, outbox);
+        settle(nowNanos, outbox);
     }
 
     synchronized void failed(
             TryId tryId, TryFailure failure, LoadReport load, long nowNanos, Outbox outbox) {
-        CallState call = currentCall(tryId);
+        CallState call = calls.get(tryId.request());
+        OpenTry each = call == null ? null : call.openTry(tryId);
+        if (each == null) {
+            return;
+        }
+        release(each);
+        feedback.failed(each, failure, load, nowNanos);
+        call.mayHaveStarted |= failure.mayHaveStarted();
+        call.bytesSent |=
+                failure != TryFailure.NOT_CONNECTED && failure != TryFailure.NO_CONNECTION_LEFT;
+        call.lastFailure = failure;
+        if (call.winner != null) {
+            end(call);
+            CallEnds.endUnanswered(call, outbox);
+        } else if (call.openTries() == 0) {
+            tryAgain(call, nowNanos, outbox);
+        }
+        settle(nowNanos, outbox);
+    }
+
+    synchronized void callerGone(RequestId request, long nowNanos, Outbox outbox) {
+        CallState call = calls.get(request);
         if (call == null) {
             return;
         }
-        noteLoad(call.currentServer, load, nowNanos);
-        release(call);
-        if (call.headRelayed) {
-            calls.remove(call.request);
+        if (call.awaitsClaim) {
+            // The claim may still be granted and must then be ended.
+            call.callerGone = true;
             return;
         }
-        if (mayTryAgain(call, failure) && nowNanos < call.deadlineNanos) {
-            call.retriesLeft--;
-            sendTry(call, reasonOf(failure), nowNanos, outbox);
-        } else {
-            refuse(call, refusalAfter(failure), outbox);
+        call.mayHaveStarted |= call.openTries() > 0;
+        call.winner = null;
+        cancelOpenTries(call, nowNanos, outbox);
+        queue.remove(call);
+        end(call);
+        CallEnds.endUnanswered(call, outbox);
+        settle(nowNanos, outbox);
+    }
+
+    synchronized void timerFired(long nowNanos, Outbox outbox) {
+        timer.fired();
+        if (!queue.isEmpty()) {
+            for (ShardQueue.Dropped dropped : queue.removeExpired(nowNanos)) {
+                drop(dropped, outbox);
+            }
+        }
+        CallState due;
+        while ((due = hedges.poll(nowNanos)) != null) {
+            hedge(due, nowNanos, outbox);
         }
+        probes.timerFired(nowNanos, outbox);
+        settle(nowNanos, outbox);
     }
 
-    synchronized void callerGone(RequestId request, Outbox outbox) {
-        CallState call = calls.get(request);
-        if (call != null) {
-            outbox.add(new Action.CancelTry(call.current));
-            end(call);
+    synchronized void probeAnswered(
+            BackendServerId id, LoadReport load, long sizeBytes, long nowNanos, Outbox outbox) {
+        probes.answered(id, sizeBytes);
+        ServerState state = pool.find(id);
+        if (state != null) {
+            feedback.reported(state, load, nowNanos);
         }
+        settle(nowNanos, outbox);
     }
 
-    synchronized boolean holds(RequestId request) {
-        return calls.containsKey(request);
+    synchronized void probeFailed(BackendServerId id) {
+        probes.failed(id);
     }
 
-    private boolean mayTryAgain(CallState call, TryFailure failure) {
-        boolean safe = !failure.mayHaveStarted() || call.isIdempotent();
-        return safe
-                && call.head.bodyReplayable()
-                && call.retriesLeft > 0
-                && call.tries < settings.maxTries()
-                && failure != TryFailure.REQUEST_BODY_BROKEN;
+    /** Sends the call, or lets it wait, or refuses it. */
+    private void admit(CallState call, long nowNanos, Outbox outbox) {
+        if (nowNanos >= call.deadlineNanos) {
+            refuse(call, RefusalReason.DEADLINE_EXCEEDED, outbox);
+            return;
+        }
+        if (queue.isEmpty()) {
+            ServerState chosen = pool.choose(call, nowNanos);
+            if (chosen != null) {
+                send(call, chosen, false, nowNanos, outbox);
+                return;
+            }
+            if (!pool.isBusy()) {
+                refuse(call, reasonWhenNone(call), outbox);
+                return;
+            }
+        }
+        ShardQueue.Dropped dropped = queue.add(call, nowNanos);
+        if (call.waiting != null) {
+            decisions.queued(call, pool.snapshot(nowNanos), outbox);
+        }
+        if (dropped != null) {
+            drop(dropped, outbox);
+        }
     }
 
-    private void sendTry(CallState call, RefusalReason whenNone, long nowNanos, Outbox outbox) {
-        ServerState chosen = choose(call);
-        if (chosen == null) {
-            refuse(call, Refusal.notRun(whenNone), outbox);
+    private void tryAgain(CallState call, long nowNanos, Outbox outbox) {
+        TryFailure failure = call.lastFailure;
+        boolean allowed =
+                RetryRule.mayRetry(
+                                call.idempotent,
+                                call.mayHaveStarted,
+                                call.head.bodyReplayable(),
+                                call.bytesSent,
+                                Math.min(call.retriesLeft, settings.maxTries() - call.tries.size()),
+                                call.deadlineNanos - nowNanos)
+                        && failure != TryFailure.REQUEST_BODY_BROKEN
+                        && retries.take();
+        if (allowed) {
+            call.retriesLeft--;
+            admit(call, nowNanos, outbox);
+        } else {
+            refuse(call, CallEnds.reasonOf(failure), outbox);
+        }
+    }
+
+    private void hedge(CallState call, long nowNanos, Outbox outbox) {
+        boolean allowed =
+                call.openTries() == 1
+                        && queue.isEmpty()
+                        && RetryRule.mayHedge(
+                                call.idempotent,
+                                call.head.bodyReplayable(),
+                                Math.min(call.retriesLeft, settings.maxTries() - call.tries.size()),
+                                call.deadlineNanos - nowNanos);
+        if (!allowed) {
             return;
         }
-        call.tries++;
-        call.current = new TryId(call.request, call.tries);
-        call.currentServer = chosen.server.id();
-        call.tried.add(call.currentServer);
-        chosen.inFlight++;
+        ServerState chosen = pool.choose(call, nowNanos);
+        if (chosen != null && retries.take()) {
+            call.retriesLeft--;
+            send(call, chosen, true, nowNanos, outbox);
+        }
+    }
+
+    private void send(
+            CallState call, ServerState chosen, boolean hedge, long nowNanos, Outbox outbox) {
+        List<DecisionRecord.Candidate> candidates = pool.snapshot(nowNanos);
+        TryId id = new TryId(call.request, call.tries.size() + 1);
+        call.tries.add(new OpenTry(id, chosen, nowNanos));
+        feedback.sent(chosen, nowNanos);
         outbox.add(
                 new Action.SendTry(
-                        call.current,
+                        id,
                         service,
                         chosen.server,
                         call.deadlineNanos - nowNanos,
                         Math.max(0, call.retriesLeft),
-                        false));
+                        call.claimGranted));
         DecisionRecord.Kind kind =
-                call.tries == 1 ? DecisionRecord.Kind.ROUTED : DecisionRecord.Kind.RETRIED;
-        outbox.add(
-                new Action.RecordDecision(
-                        new DecisionRecord(
-                                call.request,
-                                kind,
-                                call.route.id(),
-                                service,
-                                call.tries,
-                                call.currentServer,
-                                null,
-                                List.of())));
+                hedge
+                        ? DecisionRecord.Kind.HEDGED
+                        : id.number() == 1
+                                ? DecisionRecord.Kind.ROUTED
+                                : DecisionRecord.Kind.RETRIED;
+        decisions.sent(call, kind, chosen.server.id(), candidates, outbox);
+        if (settings.hedging() && pool.isAdaptive() && mayBeHedged(call)) {
+            hedges.add(call, nowNanos);
+        }
     }
 
-    /** Power of two choices by local in-flight calls. */
-    private ServerState choose(CallState call) {
-        List<ServerState> eligible = new ArrayList<>();
-        for (ServerState state : servers.values()) {
-            if (isEligible(state, call)) {
-                eligible.add(state);
+    private static boolean mayBeHedged(CallState call) {
+        return call.idempotent
+                && call.head.bodyReplayable()
+                && call.retriesLeft > 0
+                && call.tries.size() == 1;
+    }
+
+    /** Sends waiting calls while there is room, and sets the timer for what is left. */
+    private void settle(long nowNanos, Outbox outbox) {
+        queue.beginRound();
+        int blocked = 0;
+        CallState call;
+        while (blocked < MAX_BLOCKED && (call = queue.head()) != null) {
+            if (queue.isExpired(call, nowNanos)) {
+                for (ShardQueue.Dropped dropped : queue.removeExpired(nowNanos)) {
+                    drop(dropped, outbox);
+                }
+                continue;
+            }
+            ServerState chosen = pool.choose(call, nowNanos);
+            if (chosen != null) {
+                queue.take(call, nowNanos);
+                send(call, chosen, false, nowNanos, outbox);
+            } else if (pool.isBusy()) {
+                queue.block(call);
+                boolean allBlocked = !call.homeRegions.bound() && call.tries.isEmpty();
+                blocked += allBlocked ? MAX_BLOCKED : 1;
+            } else {
+                queue.remove(call);
+                refuse(call, reasonWhenNone(call), outbox);
             }
         }
-        if (eligible.isEmpty()) {
-            return null;
-        }
-        ServerState first = eligible.get(random.nextInt(eligible.size()));
-        ServerState second = eligible.get(random.nextInt(eligible.size()));
-        return first.inFlight <= second.inFlight ? first : second;
+        long due = Math.min(queue.nextSweepNanos(), probes.nextNanos());
+        timer.ensure(Math.min(due, hedges.nextNanos()), nowNanos, outbox);
     }
 
-    private static boolean isEligible(ServerState state, CallState call) {
-        return call.homeRegions.allows(state.region)
-                && state.failureDomainInService
-                && !state.isDraining()
-                && state.inFlight < state.server.connectionLimit()
-                && !call.tried.contains(state.server.id());
+    private void drop(ShardQueue.Dropped dropped, Outbox outbox) {
+        long retryAfter =
+                dropped.reason() == RefusalReason.DEADLINE_EXCEEDED ? 0 : queue.retryAfterMillis();
+        refuse(
+                dropped.call(),
+                CallEnds.refusal(dropped.call(), dropped.reason(), retryAfter),
+                outbox);
     }
 
-    private static RefusalReason reasonOf(TryFailure failure) {
-        return switch (failure) {
-            case REFUSED_NOT_RUN -> RefusalReason.BACKEND_SERVER_REFUSED;
-            case TIMED_OUT -> RefusalReason.DEADLINE_EXCEEDED;
-            default -> RefusalReason.BACKEND_SERVER_FAILED;
-        };
+    private static RefusalReason reasonWhenNone(CallState call) {
+        return call.lastFailure == null
+                ? RefusalReason.NO_BACKEND_SERVER
+                : CallEnds.reasonOf(call.lastFailure);
     }
 
-    private static Refusal refusalAfter(TryFailure failure) {
-        RefusalReason reason = reasonOf(failure);
-        return failure.mayHaveStarted() ? Refusal.unknown(reason) : Refusal.notRun(reason);
+    private void refuse(CallState call, RefusalReason reason, Outbox outbox) {
+        refuse(call, CallEnds.refusal(call, reason, 0), outbox);
     }
 
     private void refuse(CallState call, Refusal refusal, Outbox outbox) {
-        calls.remove(call.request);
-        outbox.add(new Action.RefuseCaller(call.request, refusal));
-        outbox.add(
-                new Action.RecordDecision(
-                        new DecisionRecord(
-                                call.request,
-                                DecisionRecord.Kind.REFUSED,
-                                call.route.id(),
-                                service,
-                                call.tries,
-                                null,
-                                refusal,
-                                List.of())));
+        end(call);
+        CallEnds.refuse(call, refusal, outbox);
+        decisions.refused(call, refusal, outbox);
     }
 
-    private CallState currentCall(TryId tryId) {
-        CallState call = calls.get(tryId.request());
-        return call != null && tryId.equals(call.current) ? call : null;
+    /** Cancels the open tries, except the one whose answer is relayed. */
+    private void cancelOpenTries(CallState call, long nowNanos, Outbox outbox) {
+        for (OpenTry each : call.tries) {
+            if (each.open && each != call.winner) {
+                outbox.add(new Action.CancelTry(each.id));
+                release(each);
+                feedback.cancelled(each, nowNanos);
+            }
+        }
     }
 
     private void end(CallState call) {
-        release(call);
+        call.ended = true;
         calls.remove(call.request);
+        openCalls.remove(call.request);
     }
 
-    private void release(CallState call) {
-        ServerState state = servers.get(call.currentServer);
-        if (state != null) {
-            state.inFlight = Math.max(0, state.inFlight - 1);
-        }
-    }
-
-    private void noteLoad(BackendServerId id, LoadReport load, long nowNanos) {
-        ServerState state = servers.get(id);
-        if (state != null && load.isKnown()) {
-            state.load = load;
-            state.loadAtNanos = nowNanos;
-            state.drainReported = load.draining();
-        }
+    private static void release(OpenTry each) {
+        each.open = false;
+        each.server.load.ended();
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
@@ -0,0 +1,101 @@
+package org.snipeslip.core.call;
+
+import java.util.List;
+import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.config.Route;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.ServiceId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.load.Distance;
+import org.snipeslip.core.measure.MeasureSettings;
+import org.snipeslip.core.measure.MeasurementBudget;
+import org.snipeslip.core.measure.ProbeSchedule;
+
+/** Sends the probes of one service within the measurement budget. Guarded by the shard's lock. */
+final class ShardProbes {
+    private static final long PERIOD_NANOS = 1_000_000_000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final ServiceId service;
+    private final ServerPool pool;
+    private final MeasureSettings settings;
+    private final MeasurementBudget budget;
+    private final ProbeSchedule<BackendServerId> schedule;
+    private List<Route> routes = List.of();
+    private long nextNanos = ShardTimer.NEVER;
+
+    ShardProbes(
+            ServiceId service,
+            ServerPool pool,
+            MeasureSettings settings,
+            MeasurementBudget budget) {
+        this.service = service;
+        this.pool = pool;
+        this.settings = settings;
+        this.budget = budget;
+        this.schedule = new ProbeSchedule<>(settings.staleMillis() * NANOS_PER_MILLI);
+    }
+
+    void configure(ConfigSet config, long nowNanos) {
+        routes =
+                config.routes().values().stream()
+                        .filter(route -> route.service().equals(service))
+                        .toList();
+        boolean needed = settings.isEnabled() && pool.all().length > 0;
+        nextNanos = needed ? nowNanos + PERIOD_NANOS : ShardTimer.NEVER;
+    }
+
+    long nextNanos() {
+        return nextNanos;
+    }
+
+    void timerFired(long nowNanos, Outbox outbox) {
+        if (nowNanos < nextNanos) {
+            return;
+        }
+        nextNanos = nowNanos + PERIOD_NANOS;
+        schedule.begin();
+        for (ServerState state : pool.all()) {
+            boolean unreached = state.drainReported || state.warmUp.isCold();
+            if (mayProbe(state)) {
+                long age = state.load.reportAgeNanos(nowNanos);
+                schedule.consider(state.server.id(), unreached, age, nowNanos);
+            }
+        }
+        for (BackendServerId id : schedule.ordered()) {
+            ServerState state = pool.find(id);
+            if (budget.takeProbe(isCrossRegion(state), nowNanos)) {
+                schedule.sent(id, nowNanos);
+                outbox.add(new Action.SendProbe(service, state.server));
+            }
+        }
+    }
+
+    void answered(BackendServerId id, long sizeBytes) {
+        schedule.ended(id);
+        ServerState state = pool.find(id);
+        budget.probeEnded(state != null && isCrossRegion(state), sizeBytes);
+    }
+
+    void failed(BackendServerId id) {
+        schedule.ended(id);
+    }
+
+    /** A server in a region that no route of the service may use needs no probe. */
+    private boolean mayProbe(ServerState state) {
+        if (!state.failureDomainInService || state.server.draining()) {
+            return false;
+        }
+        for (Route route : routes) {
+            if (route.homeRegions().isEmpty() || route.homeRegions().contains(state.region)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean isCrossRegion(ServerState state) {
+        return state.load.distance() == Distance.OTHER_REGION;
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -31,7 +31,8 @@
      * @param seed seed of all random choices
      */
     public Instance(InstanceSettings settings, ConfigCodec codec, long seed) {
-        this.calls = new CallEngine(settings.call(), settings.region(), seed);
+        this.calls =
+                new CallEngine(settings.call(), settings.region(), settings.failureDomain(), seed);
         this.control = new ControlEngine(settings.control(), codec, seed + 1);
         this.once = new OnceEngine();
     }
@@ -102,6 +103,7 @@
             case INSTANCE -> {
                 // The instance itself has no timers yet.
             }
+            default -> throw new IllegalStateException(owner.name());
         }
     }
 
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/retry/LatencyQuantile.java
@@ -0,0 +1,46 @@
+package org.snipeslip.core.retry;
+
+/**
+ * Running estimate of a quantile by multiplicative steps (frugal streaming): it needs constant
+ * memory and follows a service whose latency changes.
+ */
+public final class LatencyQuantile {
+    private static final double STEP = 0.1;
+    private static final int MIN_SAMPLES = 100;
+
+    private final double quantile;
+    private double estimateNanos;
+    private int samples;
+
+    /**
+     * Creates an estimate.
+     *
+     * @param quantile the quantile, between 0 and 1
+     */
+    public LatencyQuantile(double quantile) {
+        this.quantile = quantile;
+    }
+
+    /**
+     * Takes a latency.
+     *
+     * @param latencyNanos the latency
+     */
+    public void observe(long latencyNanos) {
+        if (samples == 0) {
+            estimateNanos = Math.max(1, latencyNanos);
+        }
+        samples = Math.min(samples + 1, MIN_SAMPLES);
+        estimateNanos *=
+                latencyNanos > estimateNanos ? 1 + STEP * quantile : 1 - STEP * (1 - quantile);
+    }
+
+    /**
+     * Returns the estimate.
+     *
+     * @return the latency in nanoseconds, or -1 while there are too few samples
+     */
+    public long nanos() {
+        return samples < MIN_SAMPLES ? -1 : (long) estimateNanos;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Budgets and rules of retries and hedges. */
+package org.snipeslip.core.retry;
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/selection/PolicyName.java
@@ -0,0 +1,25 @@
+package org.snipeslip.core.selection;
+
+/** Names the selection policies, so that they can be compared in one run. */
+public enum PolicyName {
+    /** Expected time from load, latency, errors and distance. */
+    ADAPTIVE,
+    /** Uniform random choice. */
+    RANDOM,
+    /** In turn. */
+    ROUND_ROBIN,
+    /** Fewest own calls in flight. */
+    LEAST_IN_FLIGHT,
+    /** The one with fewer own calls in flight of two random ones. */
+    TWO_CHOICES;
+
+    /**
+     * Tells whether adaptive limits, warm-up and hedges accompany the policy. The baselines run
+     * with the connection limit only, as they do where they are used alone.
+     *
+     * @return true for the adaptive policy
+     */
+    public boolean isAdaptive() {
+        return this == ADAPTIVE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/warmup/package-info.java
@@ -0,0 +1,2 @@
+/** Concurrency limits of backend servers that are cold. */
+package org.snipeslip.core.warmup;
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/call/FakeServer.java
@@ -0,0 +1,41 @@
+package org.snipeslip.core.call;
+
+import java.util.ArrayDeque;
+import org.snipeslip.core.config.BackendServer;
+
+/** A backend server with slots, a bounded queue and switchable faults. */
+final class FakeServer {
+    private static final int QUEUE_PER_SLOT = 8;
+
+    final BackendServer config;
+    final ArrayDeque<FakeFleet.FakeTry> queue = new ArrayDeque<>();
+    double slowFactor = 1;
+    double breakRate;
+    boolean down;
+    boolean failsFast;
+    boolean refuses;
+    boolean cold;
+    boolean reportsCold;
+    boolean draining;
+    int running;
+    int mostRunning;
+    long served;
+
+    FakeServer(BackendServer config) {
+        this.config = config;
+    }
+
+    /** A cold server works on one call at a time without harm, and collapses under more. */
+    double slowness() {
+        int held = running + queue.size();
+        return slowFactor * (cold ? 2 + 3 * Math.max(0, held - 1) : 1);
+    }
+
+    boolean isFull() {
+        return refuses || queue.size() >= QUEUE_PER_SLOT * config.slots();
+    }
+
+    LoadReport report() {
+        return new LoadReport(running + queue.size(), config.slots(), draining, reportsCold);
+    }
+}
