--- a/core/src/main/java/org/snipeslip/core/admission/WaitingQueue.java
+++ b/core/src/main/java/org/snipeslip/core/admission/WaitingQueue.java
@@ -1,7 +1,7 @@
 package org.snipeslip.core.admission;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -16,7 +16,10 @@
  */
 public final class WaitingQueue<T> {
     private final int limit;
-    private final Map<FlowKey, Flow<T>> flows = new HashMap<>();
+
+    /** In order of insertion; the hash of an enum constant differs between processes. */
+    private final Map<FlowKey, Flow<T>> flows = new LinkedHashMap<>();
+
     private final double[] virtualTime = new double[CallClass.values().length];
     private final int[] sizes = new int[CallClass.values().length];
     private long round;
--- a/core/src/main/java/org/snipeslip/core/call/CallState.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallState.java
@@ -80,9 +80,10 @@
         return open;
     }
 
-    boolean wasTriedAt(ServerState server) {
+    /** Compares names, because a server that was removed and added again has a new state. */
+    boolean wasTriedAt(ServerState state) {
         for (int i = 0; i < tries.size(); i++) {
-            if (tries.get(i).server == server) {
+            if (tries.get(i).serverId.equals(state.server.id())) {
                 return true;
             }
         }
--- a/core/src/main/java/org/snipeslip/core/call/OpenTry.java
+++ b/core/src/main/java/org/snipeslip/core/call/OpenTry.java
@@ -1,17 +1,20 @@
 package org.snipeslip.core.call;
 
+import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.TryId;
 
 /** One try of a call. Guarded by the lock of its {@link ServiceShard}. */
 final class OpenTry {
     final TryId id;
     final ServerState server;
+    final BackendServerId serverId;
     final long sentAtNanos;
     boolean open = true;
 
     OpenTry(TryId id, ServerState server, long sentAtNanos) {
         this.id = id;
         this.server = server;
+        this.serverId = server.server.id();
         this.sentAtNanos = sentAtNanos;
     }
 }
