--- a/server/src/main/java/org/snipeslip/server/http/BackendConnections.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendConnections.java
@@ -8,10 +8,10 @@
 import java.io.IOException;
 import java.net.URI;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.LongAdder;
 import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.config.BackendServer;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
 
@@ -95,7 +95,7 @@
                 .getIoThread()
                 .execute(
                         () -> {
-                            IoUtils.safeClose(elsewhere);
+                            ServerConnections.closeNow(elsewhere);
                             ioThread.execute(() -> retry(server, ioThread, listener));
                         });
     }
@@ -104,16 +104,19 @@
     void giveBack(BackendServer server, ClientConnection connection) {
         // The pool gets the connection one task later, after the client has read what may follow
         // the response in the same packet. Such bytes make it close the connection.
-        connection
-                .getIoThread()
-                .execute(
-                        () -> {
-                            if (closed || !connection.isOpen()) {
-                                IoUtils.safeClose(connection);
-                            } else {
-                                connectionsOf(server).offerIdle(connection);
-                            }
-                        });
+        try {
+            connection.getIoThread().execute(() -> keep(server, connection));
+        } catch (RejectedExecutionException e) {
+            ServerConnections.closeNow(connection);
+        }
+    }
+
+    private void keep(BackendServer server, ClientConnection connection) {
+        if (closed || !connection.isOpen()) {
+            ServerConnections.closeNow(connection);
+        } else {
+            connectionsOf(server).offerIdle(connection);
+        }
     }
 
     @Override
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -11,7 +11,6 @@
 import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
 /**
@@ -64,9 +63,7 @@
 
     /** Ends the try without an event. */
     void cancel() {
-        if (end()) {
-            IoUtils.safeClose(connection);
-        }
+        finish();
     }
 
     /** Relays the response, whose head was reported, to the caller. */
@@ -86,37 +83,24 @@
         return clientExchange;
     }
 
-    boolean isRequestComplete() {
-        return requestComplete;
-    }
-
     long sentNanos() {
         return sentNanos;
     }
 
-    /**
-     * Ends the try after the whole response was relayed.
-     *
-     * @param reusable whether the response left nothing unread on the connection
-     */
-    boolean endComplete(boolean reusable) {
-        if (!end()) {
-            return false;
-        }
-        if (reusable && requestComplete) {
+    /** Gives the connection back once the response was read whole, if the request was sent. */
+    void responseRead() {
+        if (!ended && requestComplete) {
             connections.giveBack(order.target(), connection);
-        } else {
-            IoUtils.safeClose(connection);
+            connection = null;
         }
-        return true;
     }
 
-    /** Ends the try after its response broke off; false if it had ended before. */
-    boolean endBroken() {
+    /** Ends the try and what is left of its connection; false if it had ended before. */
+    boolean finish() {
         if (!end()) {
             return false;
         }
-        IoUtils.safeClose(connection);
+        ServerConnections.closeNow(connection);
         return true;
     }
 
@@ -132,6 +116,9 @@
         if (ended) {
             return;
         }
+        if (relay.exchange().isRequestComplete()) {
+            relay.requestRead();
+        }
         connections.take(
                 order.target(),
                 relay.exchange().getIoThread(),
@@ -168,7 +155,6 @@
     private void sendBody() {
         if (!relay.body().isPresent()) {
             requestComplete = true;
-            relay.requestRead();
             return;
         }
         requestPump =
@@ -204,6 +190,16 @@
         requestPump.start();
     }
 
+    private void connectionBroken() {
+        if (responseRelay != null) {
+            responseRelay.broken();
+        } else {
+            fail(
+                    headArrived ? TryFailure.BROKEN_BODY : TryFailure.BROKEN_BEFORE_HEAD,
+                    LoadReport.UNKNOWN);
+        }
+    }
+
     private void requestBroken() {
         if (responseRelay != null) {
             responseRelay.broken();
@@ -236,7 +232,7 @@
 
     private void fail(TryFailure failure, LoadReport load) {
         if (end()) {
-            IoUtils.safeClose(connection);
+            ServerConnections.closeNow(connection);
             relay.report(new Event.TryFailed(order.tryId(), failure, load));
         }
     }
@@ -270,7 +266,7 @@
 
             @Override
             public void failed(IOException e) {
-                fail(TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN);
+                connectionBroken();
             }
         };
     }
--- a/server/src/main/java/org/snipeslip/server/http/BodyPump.java
+++ b/server/src/main/java/org/snipeslip/server/http/BodyPump.java
@@ -5,14 +5,13 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * Streams a body from one channel to another through one pooled buffer. It reads only when the
  * buffer is empty, so a slow receiver slows the sender. Runs on the I/O thread of both channels.
  */
 final class BodyPump {
-    private final StreamSourceChannel source;
+    private final BodySource source;
     private final StreamSinkChannel sink;
     private final Listener listener;
     private final PooledByteBuffer pooled;
@@ -20,11 +19,7 @@
     private boolean sourceEnded;
     private boolean ended;
 
-    BodyPump(
-            StreamSourceChannel source,
-            StreamSinkChannel sink,
-            ByteBufferPool buffers,
-            Listener listener) {
+    BodyPump(BodySource source, StreamSinkChannel sink, ByteBufferPool buffers, Listener listener) {
         this.source = source;
         this.sink = sink;
         this.listener = listener;
@@ -45,7 +40,7 @@
 
     void start() {
         if (source != null) {
-            source.getReadSetter().set(channel -> run());
+            source.onReadable(this::run);
         }
         sink.getWriteSetter().set(channel -> run());
         run();
@@ -55,7 +50,7 @@
     void stop() {
         if (end()) {
             if (source != null) {
-                source.suspendReads();
+                source.suspend();
             }
             sink.suspendWrites();
         }
@@ -86,7 +81,7 @@
         if (count == 0) {
             buffer.clear().flip();
             sink.suspendWrites();
-            source.resumeReads();
+            source.resume();
             return false;
         }
         if (count < 0) {
@@ -131,7 +126,7 @@
 
     private boolean await() {
         if (source != null && !sourceEnded) {
-            source.suspendReads();
+            source.suspend();
         }
         sink.resumeWrites();
         return false;
--- a/server/src/main/java/org/snipeslip/server/http/CallHandler.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHandler.java
@@ -2,8 +2,6 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.handlers.HttpContinueReadHandler;
-import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.util.concurrent.atomic.AtomicLong;
 import org.snipeslip.core.call.CallHead;
@@ -15,9 +13,6 @@
 
 /** Turns each request on the caller port into a call of the state machine. */
 public final class CallHandler implements HttpHandler {
-    /** Sends 100 Continue when the first byte of a body is wanted, and never before a refusal. */
-    private final HttpHandler continueHandler = new HttpContinueReadHandler(this::handle);
-
     private final CallShell shell;
     private final CallerConnections callers;
     private final CallLimits limits;
@@ -52,11 +47,7 @@
     }
 
     @Override
-    public void handleRequest(HttpServerExchange exchange) throws Exception {
-        continueHandler.handleRequest(exchange);
-    }
-
-    private void handle(HttpServerExchange exchange) {
+    public void handleRequest(HttpServerExchange exchange) {
         CallerConnections.State caller = callers.begin(exchange);
         RequestId request = nextRequestId();
         RequestFault fault = check.check(exchange);
@@ -69,10 +60,7 @@
 
     private void begin(
             HttpServerExchange exchange, RequestId request, CallerConnections.State caller) {
-        if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
-            exchange.setMaxEntitySize(limits.maxBodyBytes());
-        }
-        RequestBody body = new RequestBody(exchange, keptBodies);
+        RequestBody body = new RequestBody(exchange, keptBodies, limits.maxBodyBytes());
         CallHead head = CallHeads.of(exchange, body.isReplayable());
         CallRelay relay = new CallRelay(request, exchange, head.depth(), body, shell);
         shell.metrics().arrived();
--- a/server/src/main/java/org/snipeslip/server/http/CallRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallRelay.java
@@ -92,15 +92,21 @@
 
     /** The request was read whole; from now on the connection is watched for its end. */
     void requestRead() {
-        if (!requestRead && !ended) {
+        if (!requestRead) {
             requestRead = true;
-            CallerWatch.start(exchange, this::callerGone);
+            if (!ended) {
+                CallerWatch.start(exchange, this::callerGone);
+            }
         }
     }
 
     /** Completes the head of a response that is about to be sent. */
-    void finishHead(boolean requestSent) {
-        shell.finishHead(exchange, request, requestRead && requestSent);
+    void finishHead() {
+        // The last bytes may have been read but not sent yet, if the backend server answers early.
+        if (exchange.isRequestComplete()) {
+            requestRead();
+        }
+        shell.finishHead(exchange, request, requestRead);
     }
 
     /** The caller has its whole answer. */
@@ -165,11 +171,11 @@
             Responses.abort(exchange);
         } else if (body.fault() != null) {
             shell.metrics().refused(body.fault().text());
-            finishHead(false);
+            finishHead();
             ProblemJson.send(exchange, request, body.fault(), refusal.outcome());
         } else {
             shell.metrics().refused(refusal.reason().text());
-            finishHead(true);
+            finishHead();
             ProblemJson.send(exchange, request, refusal);
         }
     }
@@ -179,7 +185,7 @@
             return;
         }
         cancelAll();
-        finishHead(true);
+        finishHead();
         Responses.replay(exchange, answer);
     }
 
--- a/server/src/main/java/org/snipeslip/server/http/CallerConnections.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallerConnections.java
@@ -1,11 +1,18 @@
 package org.snipeslip.server.http;
 
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.AttachmentKey;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
 
 /**
  * The open connections of callers. While the instance leaves, each response announces the end of
@@ -14,6 +21,7 @@
 public final class CallerConnections {
     private static final AttachmentKey<State> STATE = AttachmentKey.create(State.class);
 
+    private static final long CLOSE_MILLIS = 1_000;
     private static final Runnable NOTHING = () -> {};
 
     private final Set<State> open = ConcurrentHashMap.newKeySet();
@@ -42,18 +50,43 @@
         return open.size();
     }
 
-    /** Closes the connections on which no call is open, each on its own I/O thread. */
+    /** Closes the connections on which no call is open. */
     public void closeIdle() {
-        for (State state : open) {
+        closeIf(state -> !state.busy);
+    }
+
+    /** Closes all connections; open calls see their caller leave. */
+    public void closeAll() {
+        closeIf(state -> true);
+    }
+
+    /** Closes connections, each on its own I/O thread, and waits for a bounded time. */
+    private void closeIf(Predicate<State> condition) {
+        List<State> states = List.copyOf(open);
+        CountDownLatch done = new CountDownLatch(states.size());
+        for (State state : states) {
             state.connection
                     .getIoThread()
                     .execute(
                             () -> {
-                                if (!state.busy) {
+                                if (condition.test(state)) {
                                     IoUtils.safeClose(state.connection);
                                 }
+                                done.countDown();
                             });
         }
+        // An I/O thread cannot wait for itself.
+        if (!(Thread.currentThread() instanceof XnioIoThread)) {
+            await(done);
+        }
+    }
+
+    private static void await(CountDownLatch done) {
+        try {
+            done.await(CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /**
@@ -70,11 +103,20 @@
                 (done, next) -> {
                     state.busy = false;
                     state.onClosed = NOTHING;
+                    expectHead(done);
                     next.proceed();
                 });
         return state;
     }
 
+    private static void expectHead(HttpServerExchange exchange) {
+        if (exchange.getConnection() instanceof HttpServerConnection connection
+                && connection.getOriginalSourceConduit() instanceof HeadGuard guard) {
+            PooledByteBuffer read = connection.getExtraBytes();
+            guard.restart(read == null ? null : read.getBuffer());
+        }
+    }
+
     private State add(ServerConnection connection) {
         State state = new State(connection);
         connection.putAttachment(STATE, state);
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/CallerListener.java
@@ -0,0 +1,88 @@
+package org.snipeslip.server.http;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/** The caller port: Undertow's HTTP/1.1 listener with a {@link HeadGuard} on each connection. */
+public final class CallerListener implements AutoCloseable {
+    private static final int PARSE_TIMEOUT_MILLIS = 10_000;
+    private static final int NO_REQUEST_TIMEOUT_MILLIS = 75_000;
+    private static final int BACKLOG = 1_000;
+
+    private final AcceptingChannel<? extends StreamConnection> acceptor;
+
+    /**
+     * Listens and accepts connections.
+     *
+     * @param address where to listen
+     * @param worker runs the connections
+     * @param buffers buffers of connections
+     * @param limits bounds on requests
+     * @param handler takes the requests
+     * @throws IOException if the address cannot be used
+     */
+    public CallerListener(
+            InetSocketAddress address,
+            XnioWorker worker,
+            ByteBufferPool buffers,
+            CallLimits limits,
+            HttpHandler handler)
+            throws IOException {
+        HttpOpenListener http = new HttpOpenListener(buffers, options(limits));
+        http.setRootHandler(handler);
+        ChannelListener<StreamConnection> open =
+                connection -> {
+                    ConduitStreamSourceChannel source = connection.getSourceChannel();
+                    source.setConduit(new HeadGuard(source.getConduit()));
+                    http.handleEvent(connection);
+                };
+        acceptor =
+                worker.createStreamConnectionServer(
+                        new InetSocketAddress(address.getHostString(), address.getPort()),
+                        ChannelListeners.openListenerAdapter(open),
+                        OptionMap.builder()
+                                .set(Options.TCP_NODELAY, true)
+                                .set(Options.REUSE_ADDRESSES, true)
+                                .set(Options.BACKLOG, BACKLOG)
+                                .getMap());
+        acceptor.resumeAccepts();
+    }
+
+    /**
+     * Returns the address it listens on.
+     *
+     * @return address with the actual port
+     */
+    public InetSocketAddress address() {
+        return acceptor.getLocalAddress(InetSocketAddress.class);
+    }
+
+    /** Stops accepting; open connections go on. */
+    @Override
+    public void close() {
+        IoUtils.safeClose(acceptor);
+    }
+
+    private static OptionMap options(CallLimits limits) {
+        return OptionMap.builder()
+                .set(UndertowOptions.DECODE_URL, false)
+                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .set(UndertowOptions.MAX_HEADER_SIZE, limits.parserBytes())
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
+                .getMap();
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/ChunkedRequestBody.java
@@ -0,0 +1,112 @@
+package org.snipeslip.server.http;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.Connectors;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** A caller's chunked body, decoded from the bytes of the connection. */
+final class ChunkedRequestBody implements BodySource {
+    private final HttpServerExchange exchange;
+    private final HttpServerConnection connection;
+    private final StreamSourceConduit socket;
+    private final ChunkDecoder decoder;
+    private PooledByteBuffer coded;
+    private boolean ended;
+
+    ChunkedRequestBody(HttpServerExchange exchange, long maxBodyBytes) {
+        this.exchange = exchange;
+        this.connection = (HttpServerConnection) exchange.getConnection();
+        this.socket = connection.getOriginalSourceConduit();
+        this.decoder = new ChunkDecoder(maxBodyBytes);
+    }
+
+    @Override
+    public int read(ByteBuffer into) throws IOException {
+        if (ended) {
+            return -1;
+        }
+        if (coded == null) {
+            coded = takeReadBytes();
+        }
+        int start = into.position();
+        ByteBuffer bytes = coded.getBuffer();
+        do {
+            decoder.decode(bytes, into);
+            if (decoder.isEnded()) {
+                end();
+                return into.position() > start ? into.position() - start : -1;
+            }
+            if (!into.hasRemaining()) {
+                break;
+            }
+        } while (fill(bytes));
+        return into.position() - start;
+    }
+
+    @Override
+    public void onReadable(Runnable task) {
+        connection.getChannel().getSourceChannel().setReadListener(channel -> task.run());
+    }
+
+    @Override
+    public void resume() {
+        socket.resumeReads();
+    }
+
+    @Override
+    public void suspend() {
+        socket.suspendReads();
+    }
+
+    /** Returns the buffer to its pool if the body was not read to its end. */
+    void release() {
+        if (coded != null) {
+            coded.close();
+            coded = null;
+            ended = true;
+        }
+    }
+
+    /** Undertow may have read a part of the body together with the head. */
+    private PooledByteBuffer takeReadBytes() {
+        PooledByteBuffer extra = connection.getExtraBytes();
+        if (extra != null) {
+            connection.setExtraBytes(null);
+            return extra;
+        }
+        PooledByteBuffer empty = connection.getByteBufferPool().allocate();
+        empty.getBuffer().clear().flip();
+        return empty;
+    }
+
+    private boolean fill(ByteBuffer bytes) throws IOException {
+        bytes.clear();
+        int count = 0;
+        try {
+            count = socket.read(bytes);
+        } finally {
+            bytes.flip();
+        }
+        if (count < 0) {
+            throw new ClosedChannelException();
+        }
+        return count > 0;
+    }
+
+    private void end() {
+        ended = true;
+        socket.suspendReads();
+        if (coded.getBuffer().hasRemaining()) {
+            connection.ungetRequestBytes(coded);
+        } else {
+            coded.close();
+        }
+        coded = null;
+        Connectors.terminateRequest(exchange);
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/http/RequestBody.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestBody.java
@@ -1,14 +1,16 @@
 package org.snipeslip.server.http;
 
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
+import io.undertow.server.protocol.http.HttpContinue;
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * The body of a call's request. A small body of known length is read whole before the first try, so
@@ -19,15 +21,18 @@
     private final HttpServerExchange exchange;
     private final KeptBodies memory;
     private final boolean present;
+    private final long maxBodyBytes;
     private final int keptBytes;
     private final List<Listener> waiting = new ArrayList<>(1);
     private ByteBuffer kept;
+    private ChunkedRequestBody chunked;
     private boolean reading;
     private boolean streamed;
     private boolean released;
     private RequestFault fault;
 
-    RequestBody(HttpServerExchange exchange, KeptBodies memory) {
+    RequestBody(HttpServerExchange exchange, KeptBodies memory, long maxBodyBytes) {
+        this.maxBodyBytes = maxBodyBytes;
         this.exchange = exchange;
         this.memory = memory;
         this.present = !exchange.isRequestComplete();
@@ -52,6 +57,32 @@
 
     /** Calls the listener once the body can be sent by one more try. */
     void prepare(Listener listener) {
+        if (HttpContinue.requiresContinueResponse(exchange)
+                && !HttpContinue.isContinueResponseSent(exchange)) {
+            askForBody(listener);
+        } else {
+            prepareAsked(listener);
+        }
+    }
+
+    /** Sends 100 Continue, so that a caller that waits for it sends its body. */
+    private void askForBody(Listener listener) {
+        HttpContinue.sendContinueResponse(
+                exchange,
+                new IoCallback() {
+                    @Override
+                    public void onComplete(HttpServerExchange done, Sender sender) {
+                        prepareAsked(listener);
+                    }
+
+                    @Override
+                    public void onException(HttpServerExchange done, Sender sender, IOException e) {
+                        listener.broken();
+                    }
+                });
+    }
+
+    private void prepareAsked(Listener listener) {
         if (keptBytes > 0 && kept == null) {
             waiting.add(listener);
             readWhole();
@@ -68,22 +99,29 @@
             return new BodyPump(kept.duplicate(), sink, listener);
         }
         streamed = true;
-        return new BodyPump(
-                exchange.getRequestChannel(),
-                sink,
-                exchange.getConnection().getByteBufferPool(),
-                listener);
+        return new BodyPump(source(), sink, exchange.getConnection().getByteBufferPool(), listener);
+    }
+
+    private BodySource source() {
+        if (!exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+            return BodySource.of(exchange.getRequestChannel());
+        }
+        chunked = new ChunkedRequestBody(exchange, maxBodyBytes);
+        return chunked;
     }
 
     void noteBroken(IOException e) {
         if (e instanceof RequestTooBigException) {
             fault = RequestFault.BODY_TOO_LARGE;
-        } else if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+        } else if (e instanceof ChunkDecoder.MalformedBodyException) {
             fault = RequestFault.MALFORMED_BODY;
         }
     }
 
     void release() {
+        if (chunked != null) {
+            chunked.release();
+        }
         if (keptBytes > 0 && !released) {
             released = true;
             kept = null;
@@ -97,12 +135,12 @@
         }
         reading = true;
         ByteBuffer into = ByteBuffer.allocate(keptBytes);
-        StreamSourceChannel source = exchange.getRequestChannel();
-        source.getReadSetter().set(channel -> fill(channel, into));
+        BodySource source = BodySource.of(exchange.getRequestChannel());
+        source.onReadable(() -> fill(source, into));
         fill(source, into);
     }
 
-    private void fill(StreamSourceChannel source, ByteBuffer into) {
+    private void fill(BodySource source, ByteBuffer into) {
         try {
             int count;
             do {
@@ -110,7 +148,7 @@
                 count = source.read(into.hasRemaining() ? into : ByteBuffer.allocate(1));
             } while (count > 0);
             if (count == 0) {
-                source.resumeReads();
+                source.resume();
                 return;
             }
             kept = into.flip();
--- a/server/src/main/java/org/snipeslip/server/http/RequestCheck.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestCheck.java
@@ -1,6 +1,7 @@
 package org.snipeslip.server.http;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -31,6 +32,9 @@
     /** Returns the first fault of the request, or null. */
     RequestFault check(HttpServerExchange exchange) {
         RequestFault fault = checkSizes(exchange);
+        if (isFolded(exchange)) {
+            return RequestFault.OBSOLETE_LINE_FOLDING;
+        }
         if (fault == null) {
             fault = checkFraming(exchange.getRequestHeaders());
         }
@@ -40,6 +44,12 @@
         return fault == null ? checkFields(exchange.getRequestHeaders()) : fault;
     }
 
+    private static boolean isFolded(HttpServerExchange exchange) {
+        return exchange.getConnection() instanceof HttpServerConnection connection
+                && connection.getOriginalSourceConduit() instanceof HeadGuard guard
+                && guard.isFolded();
+    }
+
     private RequestFault checkSizes(HttpServerExchange exchange) {
         int uriBytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
         if (uriBytes > limits.maxUriBytes()) {
--- a/server/src/main/java/org/snipeslip/server/http/RequestFault.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestFault.java
@@ -17,6 +17,8 @@
     INVALID_TARGET(StatusCodes.BAD_REQUEST),
     /** A header field that holds a line break or NUL. */
     INVALID_HEADER(StatusCodes.BAD_REQUEST),
+    /** A header field that goes on in the next line (RFC 9112 section 5.2). */
+    OBSOLETE_LINE_FOLDING(StatusCodes.BAD_REQUEST),
     /** A numeric header field of this project that is not a number in range. */
     INVALID_NUMBER(StatusCodes.BAD_REQUEST),
     /** The chunks of the body are malformed. */
--- a/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
@@ -35,14 +35,14 @@
         exchange.setStatusCode(response.getResponseCode());
         HopByHop.copyEndToEnd(from, to);
         to.remove(SnipeslipHeaders.LOAD);
-        relay.finishHead(backendTry.isRequestComplete());
+        relay.finishHead();
         if (ResponseCheck.isBodiless(response.getResponseCode())) {
             startWithoutBody(to);
             return;
         }
         pump =
                 new BodyPump(
-                        backendTry.clientExchange().getResponseChannel(),
+                        BodySource.of(backendTry.clientExchange().getResponseChannel()),
                         exchange.getResponseChannel(),
                         exchange.getConnection().getByteBufferPool(),
                         this);
@@ -51,7 +51,7 @@
 
     /** Closes both connections, so that a cut response is seen as broken. */
     void broken() {
-        if (backendTry.endBroken()) {
+        if (backendTry.finish()) {
             relay.broken(
                     new Event.TryFailed(
                             backendTry.order().tryId(),
@@ -70,11 +70,14 @@
     @Override
     public void sourceEnded() {
         readNanos = System.nanoTime();
+        if (!unreadLeft) {
+            backendTry.responseRead();
+        }
     }
 
     @Override
     public void completed() {
-        if (backendTry.endComplete(!unreadLeft)) {
+        if (backendTry.finish()) {
             RecordableAnswer recordable =
                     recorder == null ? RecordableAnswer.NONE : recorder.answer(response);
             relay.completed(
@@ -110,7 +113,7 @@
         if (!unreadLeft) {
             pump =
                     new BodyPump(
-                            backendTry.clientExchange().getResponseChannel(),
+                            BodySource.of(backendTry.clientExchange().getResponseChannel()),
                             relay.exchange().getResponseChannel(),
                             relay.exchange().getConnection().getByteBufferPool(),
                             this);
--- a/server/src/main/java/org/snipeslip/server/http/ServerConnections.java
+++ b/server/src/main/java/org/snipeslip/server/http/ServerConnections.java
@@ -1,6 +1,7 @@
 package org.snipeslip.server.http;
 
 import io.undertow.client.ClientConnection;
+import java.io.IOException;
 import java.util.Deque;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -80,8 +81,23 @@
         }
     }
 
+    /**
+     * Closes a connection at once. Undertow's own close reads the rest of the response for up to 10
+     * s, during which the backend server works on, so this closes the socket below it.
+     */
+    static void closeNow(ClientConnection connection) {
+        if (connection == null) {
+            return;
+        }
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
     private static void closeOnItsThread(ClientConnection connection) {
-        connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+        connection.getIoThread().execute(() -> closeNow(connection));
     }
 
     /** An idle connection and when it became idle. */
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -1,7 +1,6 @@
 package org.snipeslip.server.runtime;
 
 import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
@@ -18,8 +17,8 @@
 import org.snipeslip.server.config.ConfigJson;
 import org.snipeslip.server.http.BackendConnections;
 import org.snipeslip.server.http.CallHandler;
-import org.snipeslip.server.http.CallLimits;
 import org.snipeslip.server.http.CallerConnections;
+import org.snipeslip.server.http.CallerListener;
 import org.snipeslip.server.http.HttpMessageClient;
 import org.snipeslip.server.log.DecisionLog;
 import org.snipeslip.server.log.RecentDecisions;
@@ -39,8 +38,6 @@
     private static final int POOLED_BUFFERS = 1_000;
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final long IDLE_SWEEP_MILLIS = 10_000;
-    private static final int PARSE_TIMEOUT_MILLIS = 10_000;
-    private static final int NO_REQUEST_TIMEOUT_MILLIS = 75_000;
     private static final long WORKER_STOP_SECONDS = 2;
 
     private final XnioWorker worker;
@@ -53,7 +50,7 @@
     private final DecisionLog decisionLog;
     private final Instance instance;
     private final InstanceRuntime runtime;
-    private final Undertow callerServer;
+    private final CallerListener callerListener;
     private final Undertow operatorServer;
     private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -95,13 +92,20 @@
                 settings.instance().id()
                         + "-"
                         + Long.toString(settings.instance().incarnation(), Character.MAX_RADIX);
-        callerServer =
-                server(settings.callerAddress(), callHandler(shell.limits(), requestIdPrefix))
-                        .setServerOption(
-                                UndertowOptions.MAX_HEADER_SIZE, shell.limits().parserBytes())
-                        .build();
+        callerListener =
+                new CallerListener(
+                        settings.callerAddress(),
+                        worker,
+                        buffers,
+                        shell.limits(),
+                        new CallHandler(
+                                runtime,
+                                connections,
+                                callers,
+                                metrics,
+                                shell.limits(),
+                                requestIdPrefix));
         operatorServer = server(settings.operatorAddress(), operatorHandler()).build();
-        callerServer.start();
         operatorServer.start();
         timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
         runtime.handle(new Event.Started());
@@ -124,8 +128,9 @@
 
     @Override
     public void close() {
-        callerServer.stop();
+        callerListener.close();
         operatorServer.stop();
+        callers.closeAll();
         runtime.close();
         timers.close();
         connections.close();
@@ -149,10 +154,6 @@
         return instance.isReady() && !callers.isLeaving();
     }
 
-    private HttpHandler callHandler(CallLimits limits, String requestIdPrefix) {
-        return new CallHandler(runtime, connections, callers, metrics, limits, requestIdPrefix);
-    }
-
     private HttpHandler operatorHandler() {
         return new OperatorHandler(
                 instance::configInForce,
@@ -186,10 +187,6 @@
                 .setByteBufferPool(buffers)
                 .setHandler(handler)
                 .addHttpListener(address.getPort(), address.getHostString())
-                .setServerOption(UndertowOptions.DECODE_URL, false)
-                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
                 .setSocketOption(Options.TCP_NODELAY, true);
     }
 
--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/http/FakeBackend.java
@@ -0,0 +1,76 @@
+package org.snipeslip.server.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.FailureDomainId;
+
+/** A backend server whose connections the test drives byte by byte. */
+final class FakeBackend implements AutoCloseable {
+    private final ServerSocket listener;
+
+    FakeBackend() throws IOException {
+        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        listener.setSoTimeout(RawSocket.SAFETY_MILLIS);
+    }
+
+    RawSocket accept() throws IOException {
+        return new RawSocket(listener.accept());
+    }
+
+    /** Accepts a connection, reads a request head and returns the connection. */
+    RawSocket acceptRequest() throws IOException {
+        RawSocket connection = accept();
+        connection.readHead();
+        return connection;
+    }
+
+    /** Answers each request with its target, on any number of connections, until it closes. */
+    Thread answerWithTarget() {
+        return Thread.ofVirtual()
+                .start(
+                        () -> {
+                            try {
+                                while (true) {
+                                    RawSocket connection = accept();
+                                    Thread.ofVirtual().start(() -> answer(connection));
+                                }
+                            } catch (IOException e) {
+                                // The test ended.
+                            }
+                        });
+    }
+
+    private static void answer(RawSocket connection) {
+        try {
+            while (true) {
+                String target = connection.readHead().split(" ")[1];
+                connection.write(
+                        "HTTP/1.1 200 OK\r\nContent-Length: "
+                                + target.length()
+                                + "\r\n\r\n"
+                                + target);
+            }
+        } catch (IOException e) {
+            // The test ended.
+        }
+    }
+
+    BackendServer server(int connectionLimit) {
+        return new BackendServer(
+                new BackendServerId("b" + listener.getLocalPort()),
+                "127.0.0.1",
+                listener.getLocalPort(),
+                new FailureDomainId("d"),
+                4,
+                connectionLimit,
+                false);
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/http/RawSocket.java
@@ -0,0 +1,87 @@
+package org.snipeslip.server.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+
+/** A socket of a test, read and written as bytes, so that it can misbehave. */
+final class RawSocket implements AutoCloseable {
+    /** Ends a test that hangs; no assertion depends on it. */
+    static final int SAFETY_MILLIS = 20_000;
+
+    private final Socket socket;
+    private final InputStream in;
+
+    RawSocket(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(SAFETY_MILLIS);
+        socket.setTcpNoDelay(true);
+        in = socket.getInputStream();
+    }
+
+    static RawSocket connect(int port) throws IOException {
+        return new RawSocket(new Socket("127.0.0.1", port));
+    }
+
+    RawSocket write(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+        return this;
+    }
+
+    /** Reads a head up to and with its empty line. */
+    String readHead() throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("the peer closed after: " + head);
+            }
+            head.append((char) b);
+        }
+        return head.toString();
+    }
+
+    String read(int bytes) throws IOException {
+        return new String(in.readNBytes(bytes), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads until the peer closes. */
+    Rest readRest() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        boolean reset = false;
+        try {
+            int b;
+            while ((b = in.read()) >= 0) {
+                bytes.write(b);
+            }
+        } catch (SocketException e) {
+            reset = true;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return new Rest(bytes.toString(StandardCharsets.ISO_8859_1), reset);
+    }
+
+    InputStream in() {
+        return in;
+    }
+
+    /** Closes with a reset. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    /** What came before the peer closed, and whether it closed with a reset. */
+    record Rest(String text, boolean reset) {}
+}
--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/http/RequestSmugglingTest.java
@@ -0,0 +1,164 @@
+package org.snipeslip.server.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipeslip.core.instance.Event;
+
+/** Requests that two HTTP parsers could read differently, and requests above the limits. */
+class RequestSmugglingTest {
+    private static final String HIDDEN = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    private ShellFixture shell;
+
+    @BeforeEach
+    void start() throws IOException {
+        shell = new ShellFixture();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        shell.close();
+    }
+
+    /** Guards against a second request hidden in the body or the head of the first. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "POST / HTTP/1.1\nHost: h\nContent-Length: 4\nTransfer-Encoding: chunked\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\nContent-Length: 4\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nContent-Length: 3\nContent-Length: 4\n\nabcd",
+                "POST / HTTP/1.1\nHost: h\nContent-Length: 3, 4\n\nabcd",
+                "POST / HTTP/1.1\nHost: h\nContent-Length: +3\n\nabc",
+                "POST / HTTP/1.1\nHost: h\nContent-Length: -3\n\nabc",
+                "POST / HTTP/1.1\nHost: h\nContent-Length: 0x3\n\nabc",
+                "POST / HTTP/1.1\nHost: h\nContent-Length:\n\nabc",
+                "POST / HTTP/1.1\nHost: h\nContent-Length: 99999999999999999999\n\nabc",
+                "POST / HTTP/1.1\nHost: h\nTransfer-Encoding: gzip, chunked\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nTransfer-Encoding: chunked, identity\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nTransfer-Encoding: xchunked\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nTransfer-Encoding: identity\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\nTransfer-Encoding: x\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nTransfer-Encoding:\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nTransfer-Encoding : chunked\n\n0\n\n",
+                "POST / HTTP/1.1\nHost: h\nContent-Length : 3\n\nabc",
+                "GET / HTTP/1.1\nHost: h\nX-A: 1\n folded\n\n",
+                "GET / HTTP/1.1\nHost: h\nX-A: 1\n\tfolded\n\n",
+                "GET / HTTP/1.1\nHost: h\n X-A: 1\n\n",
+                "GET / HTTP/1.1\n\n",
+                "GET / HTTP/1.1\nHost:\n\n",
+                "GET / HTTP/1.1\nHost: a\nHost: b\n\n",
+                "GET / HTTP/1.1\nHost: a, b\n\n",
+                "GET / HTTP/1.1\nHost: a/b\n\n",
+                "GET http://other/ HTTP/1.1\nHost: h\n\n",
+                "GET nopath HTTP/1.1\nHost: h\n\n",
+                "GET / HTTP/1.1\nHost: h\nX-A: a\u0000b\n\n",
+                "GET / HTTP/1.1\nHost: h\nX A: a\n\n",
+                "GET / HTTP/1.1\nHost: h\nSnipeslip-Depth: one\n\n",
+                "GET / HTTP/1.1\nHost: h\nSnipeslip-Depth: -1\n\n",
+                "GET / HTTP/1.1\nHost: h\nSnipeslip-Depth: 1\nSnipeslip-Depth: 2\n\n",
+                "GET / HTTP/1.1\nHost: h\nSnipeslip-Deadline-Ms: 99999999999\n\n",
+                "GET / HTTP/1.1\nHost: h\nSnipeslip-Retries-Left: 1.5\n\n",
+            })
+    void ambiguousRequestIsRefusedAndTheConnectionClosed(String request) throws Exception {
+        try (RawSocket caller = shell.call(request.replace("\n", "\r\n") + HIDDEN)) {
+            RawSocket.Rest rest = caller.readRest();
+            assertThat(rest.text()).startsWith("HTTP/1.1 400 ").containsOnlyOnce("HTTP/1.1 ");
+            assertThat(rest.text()).containsIgnoringCase("Connection: close");
+            assertThat(shell.engine.events).isEmpty();
+        }
+    }
+
+    /** Guards against a folded line in a pipelined head, which arrives with the first request. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET /first HTTP/1.1\nHost: h\n\n",
+                "POST /first HTTP/1.1\nHost: h\nContent-Length: 2\n\nab",
+                "POST /first HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\n1\na\n0\n\n",
+            })
+    void foldedLineOfPipelinedRequestIsRefused(String first) throws Exception {
+        String second = "GET / HTTP/1.1\nHost: h\nX-A: 1\n folded\n\n";
+        try (RawSocket caller = shell.call((first + second).replace("\n", "\r\n") + HIDDEN)) {
+            shell.backend.acceptRequest().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            assertThat(caller.readHead()).startsWith("HTTP/1.1 200 ").doesNotContain("close");
+            assertThat(caller.readRest().text())
+                    .startsWith("HTTP/1.1 400 ")
+                    .contains("obsolete-line-folding")
+                    .containsOnlyOnce("HTTP/1.1 ");
+        }
+    }
+
+    /** Guards against chunks that two parsers read differently; their end is then unknown. */
+    @ParameterizedTest
+    @ValueSource(strings = {"zz\r\nabc\r\n", "3\r\nabcd\r\n", "-1\r\n\r\n", "\r\n\r\n"})
+    void malformedChunksAreRefusedAndTheConnectionClosed(String chunks) throws Exception {
+        String head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+        try (RawSocket caller = shell.call(head + chunks + HIDDEN)) {
+            RawSocket.Rest rest = caller.readRest();
+            assertThat(rest.text())
+                    .startsWith("HTTP/1.1 400 ")
+                    .contains("malformed-body")
+                    .containsOnlyOnce("HTTP/1.1 ");
+            assertThat(shell.engine.events)
+                    .filteredOn(event -> event instanceof Event.CallArrived)
+                    .hasSize(1);
+        }
+    }
+
+    /** Guards against requests without bound, and against an untyped or unnamed refusal. */
+    @ParameterizedTest
+    @CsvSource({
+        "URI, HTTP/1.1 414, uri-too-long",
+        "HEADER, HTTP/1.1 431, headers-too-large",
+        "LENGTH, HTTP/1.1 413, body-too-large",
+        "EXPECT, HTTP/1.1 417, expectation-failed",
+        "CONNECT, HTTP/1.1 501, method-not-offered",
+    })
+    void requestAboveLimitIsRefused(String kind, String status, String reason) throws Exception {
+        String request =
+                switch (kind) {
+                    case "URI" -> ShellFixture.get("/" + "u".repeat(1_100));
+                    case "HEADER" ->
+                            "GET / HTTP/1.1\r\nHost: h\r\nX: " + "v".repeat(4_200) + "\r\n\r\n";
+                    case "LENGTH" ->
+                            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000000\r\n\r\n";
+                    case "EXPECT" -> "GET / HTTP/1.1\r\nHost: h\r\nExpect: tea\r\n\r\n";
+                    default -> "CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n";
+                };
+        try (RawSocket caller = shell.call(request)) {
+            String text = caller.readRest().text();
+            assertThat(text)
+                    .startsWith(status)
+                    .contains("\"reason\":\"" + reason, "\"outcome\":\"not-run\"")
+                    .contains("Snipeslip-Request-Id: entry-1-", "Connection: close");
+        }
+    }
+
+    /** Guards against a head that grows without bound before the limits are looked at. */
+    @ParameterizedTest
+    @ValueSource(ints = {20_000, 200_000})
+    void headAboveParserLimitIsRefused(int bytes) throws Exception {
+        try (RawSocket caller = shell.caller()) {
+            Thread writer =
+                    Thread.ofVirtual().start(() -> writeUntilClosed(caller, "v".repeat(bytes)));
+            RawSocket.Rest rest = caller.readRest();
+            writer.join();
+            assertThat(rest.text()).matches("(HTTP/1\\.1 4(?s:.*))?");
+            assertThat(shell.engine.events).isEmpty();
+        }
+    }
+
+    private static void writeUntilClosed(RawSocket caller, String value) {
+        try {
+            caller.write("GET / HTTP/1.1\r\nHost: h\r\nX: " + value);
+        } catch (IOException e) {
+            // The instance closed the connection, as it must.
+        }
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/http/ResponseRelayTest.java
@@ -0,0 +1,236 @@
+package org.snipeslip.server.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipeslip.core.call.TryFailure;
+import org.snipeslip.core.instance.Event;
+import org.snipeslip.core.instance.RecordableAnswer;
+
+/** Backend servers that cut, garble or add to their responses. */
+class ResponseRelayTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    private ShellFixture shell;
+
+    @BeforeEach
+    void start() throws IOException {
+        shell = new ShellFixture();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        shell.close();
+    }
+
+    /** Guards against a cut response that reaches the caller with a clean end. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 10\r\n\r\nabc",
+                "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n5\r\nabc",
+                "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n",
+            })
+    void cutResponseIsVisiblyBroken(String headAndBody) throws Exception {
+        try (RawSocket caller = shell.call(ShellFixture.get("/a"))) {
+            RawSocket backend = shell.backend.acceptRequest();
+            backend.write("HTTP/1.1 200 OK\r\n" + headAndBody);
+            backend.close();
+            Event.TryFailed failed = shell.engine.await(Event.TryFailed.class);
+            assertThat(failed.failure()).isEqualTo(TryFailure.BROKEN_BODY);
+            RawSocket.Rest rest = caller.readRest();
+            assertThat(rest.text()).doesNotEndWith("0\r\n\r\n").doesNotContain("\r\n0\r\n");
+            assertThat(rest.text()).doesNotContain("abc1234567");
+        }
+    }
+
+    /** Guards against a "not run" or a wait when the response is no HTTP or breaks in its head. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', BROKEN_BEFORE_HEAD",
+        "'HTTP/1.1 200 OK\r\nContent-Le', BROKEN_BEFORE_HEAD",
+        "'garbage garbage\r\n\r\n', BROKEN_BEFORE_HEAD",
+        "'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',"
+                + "MALFORMED",
+        "'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc', MALFORMED",
+        "'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n', MALFORMED",
+        "'HTTP/1.1 103 Early Hints\r\n\r\n', MALFORMED",
+    })
+    void brokenHeadIsUnknown(String response, TryFailure expected) throws Exception {
+        try (RawSocket caller = shell.call(ShellFixture.get("/a"))) {
+            RawSocket backend = shell.backend.acceptRequest();
+            backend.write(response);
+            backend.close();
+            assertThat(shell.engine.await(Event.TryFailed.class).failure()).isEqualTo(expected);
+            String head = caller.readHead();
+            assertThat(head).startsWith("HTTP/1.1 502 ").contains("Snipeslip-Request-Id: entry-1-");
+        }
+    }
+
+    /** Guards against bytes after a response that become the answer to the next caller. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", OK, "HTTP/1.1 200 OK\r\n"})
+    void connectionWithExtraBytesIsNotReused(String extra) throws Exception {
+        try (RawSocket first = shell.call(ShellFixture.get("/a"))) {
+            RawSocket backend = shell.backend.acceptRequest();
+            backend.write(OK + extra);
+            first.readHead();
+            assertThat(first.read(2)).isEqualTo("ok");
+            shell.engine.await(Event.TryCompleted.class);
+            assertThat(backend.readRest().text()).isEmpty();
+            first.write(ShellFixture.get("/b"));
+            shell.backend.acceptRequest().write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+            first.readHead();
+            assertThat(first.read(3)).isEqualTo("new");
+        }
+    }
+
+    /** Guards against a new connection, which costs a millisecond, for each call. */
+    @Test
+    void completeResponseLeavesConnectionReusable() throws Exception {
+        try (RawSocket caller = shell.call(ShellFixture.get("/a"))) {
+            RawSocket backend = shell.backend.acceptRequest();
+            for (int i = 0; i < 3; i++) {
+                backend.write(OK);
+                caller.readHead();
+                assertThat(caller.read(2)).isEqualTo("ok");
+                caller.write(ShellFixture.get("/" + i));
+                assertThat(backend.readHead()).startsWith("GET /" + i + " ");
+            }
+        }
+    }
+
+    /** Guards against a "not run" when an idle connection closes as the request is sent. */
+    @Test
+    void staleIdleConnectionIsBrokenBeforeHead() throws Exception {
+        try (RawSocket caller = shell.call(ShellFixture.get("/a"))) {
+            RawSocket backend = shell.backend.acceptRequest();
+            backend.write(OK);
+            caller.readHead();
+            caller.read(2);
+            caller.write(ShellFixture.get("/b"));
+            backend.readHead();
+            backend.reset();
+            assertThat(shell.engine.await(Event.TryFailed.class).failure())
+                    .isEqualTo(TryFailure.BROKEN_BEFORE_HEAD);
+        }
+    }
+
+    /** Guards against a wait for a body that the status or the method forbids. */
+    @ParameterizedTest
+    @CsvSource({
+        "GET, 'HTTP/1.1 204 No Content\r\n\r\n', HTTP/1.1 204",
+        "GET, 'HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n', HTTP/1.1 204",
+        "GET, 'HTTP/1.1 304 Not Modified\r\nETag: \"v\"\r\n\r\n', HTTP/1.1 304",
+        "GET, 'HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n', HTTP/1.1 304",
+        "HEAD, 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n', HTTP/1.1 200",
+        "HEAD, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', HTTP/1.1 200",
+    })
+    void bodilessResponseEndsWithItsHead(String method, String response, String expected)
+            throws Exception {
+        try (RawSocket caller = shell.call(method + " /a HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            shell.backend.acceptRequest().write(response);
+            assertThat(caller.readHead()).startsWith(expected);
+            shell.engine.await(Event.TryCompleted.class);
+            caller.write(ShellFixture.get("/b"));
+            shell.engine.await(Event.CallArrived.class);
+        }
+    }
+
+    /** Guards against header fields of one connection that reach the other side. */
+    @Test
+    void hopByHopFieldsOfTheResponseAreDropped() throws Exception {
+        try (RawSocket caller = shell.call(ShellFixture.get("/a"))) {
+            shell.backend
+                    .acceptRequest()
+                    .write(
+                            "HTTP/1.1 200 OK\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\n"
+                                    + "Keep-Alive: timeout=5\r\nX-Kept: a\r\nX-Kept:\r\n"
+                                    + "Snipeslip-Load: 1/4\r\nContent-Length: 2\r\n\r\nok");
+            String head = caller.readHead();
+            assertThat(head)
+                    .doesNotContain("X-Mine", "Keep-Alive", "Snipeslip-Load", "close")
+                    .contains("X-Kept: a\r\n");
+            assertThat(head).containsPattern("X-Kept: ?\r\n");
+            Event.TryAnswered answered = shell.engine.await(Event.TryAnswered.class);
+            assertThat(answered.load().inFlight()).isEqualTo(1);
+        }
+    }
+
+    /** Guards against trailers, which may carry framing or authentication, that pass through. */
+    @Test
+    void trailersAreDropped() throws Exception {
+        try (RawSocket caller = shell.call(ShellFixture.get("/a"))) {
+            shell.backend
+                    .acceptRequest()
+                    .write(
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    + "2\r\nok\r\n0\r\nX-Trailer: 1\r\n\r\n");
+            caller.readHead();
+            assertThat(caller.readHead()).matches("0*2\r\nok\r\n0\r\n\r\n");
+        }
+    }
+
+    /** Guards against a recorded answer that is cut without saying so, or that is missing. */
+    @ParameterizedTest
+    @CsvSource({"1024, true", "1025, false", "70000, false"})
+    void smallAnswersAreRecorded(int bytes, boolean kept) throws Exception {
+        String body = "x".repeat(bytes);
+        try (RawSocket caller = shell.call(ShellFixture.get("/a"))) {
+            shell.backend
+                    .acceptRequest()
+                    .write(
+                            "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: "
+                                    + bytes
+                                    + "\r\n\r\n"
+                                    + body);
+            caller.readHead();
+            assertThat(caller.read(bytes)).isEqualTo(body);
+            RecordableAnswer answer = shell.engine.await(Event.TryCompleted.class).recordable();
+            assertThat(answer.status()).isEqualTo(201);
+            assertThat(answer.contentType()).isEqualTo("text/plain");
+            assertThat(answer.bodyKept()).isEqualTo(kept);
+            assertThat(answer.body().isEmpty()).isEqualTo(!kept);
+        }
+    }
+
+    /** Guards against a response that is held in memory instead of streamed. */
+    @Test
+    void largeResponseTakesFewBuffers() throws Exception {
+        long bytes = 32L << 20;
+        try (RawSocket caller = shell.call(ShellFixture.get("/a"))) {
+            RawSocket backend = shell.backend.acceptRequest();
+            Thread writer = Thread.ofVirtual().start(() -> writeLarge(backend, bytes));
+            caller.readHead();
+            long count = 0;
+            byte[] part = new byte[64 * 1024];
+            while (count < bytes) {
+                count += caller.in().read(part);
+            }
+            writer.join();
+            assertThat(count).isEqualTo(bytes);
+            // One for the pump, one each for the heads of the two connections and the poll.
+            assertThat(shell.mostBuffers.get()).isLessThanOrEqualTo(8);
+        }
+    }
+
+    private static void writeLarge(RawSocket backend, long bytes) {
+        try {
+            backend.write("HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n");
+            String part = "y".repeat(1 << 16);
+            for (long i = 0; i < bytes; i += part.length()) {
+                backend.write(part);
+            }
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/http/ScriptedEngine.java
@@ -0,0 +1,109 @@
+package org.snipeslip.server.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.snipeslip.core.call.Refusal;
+import org.snipeslip.core.call.RefusalReason;
+import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.id.RequestId;
+import org.snipeslip.core.id.ServiceId;
+import org.snipeslip.core.id.TryId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Event;
+
+/** Stands in for the state machine: sends each call to one backend server unless told otherwise. */
+final class ScriptedEngine implements CallEvents {
+    private static final long REMAINING_NANOS = 60_000_000_000L;
+
+    final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final Map<RequestId, CallRelay> relays = new ConcurrentHashMap<>();
+    private final BackendServer target;
+    private volatile Script script = this::relayOnce;
+
+    ScriptedEngine(BackendServer target) {
+        this.target = target;
+    }
+
+    void script(Script replacement) {
+        script = replacement;
+    }
+
+    @Override
+    public void begin(RequestId request, CallRelay relay, Event.CallArrived arrived) {
+        relays.put(request, relay);
+        handle(arrived);
+    }
+
+    @Override
+    public void handle(Event event) {
+        List<Action> actions = script.actions(event);
+        events.add(event);
+        actions.forEach(this::carryOut);
+    }
+
+    @Override
+    public void forget(RequestId request) {
+        relays.remove(request);
+    }
+
+    void carryOut(Action action) {
+        RequestId request =
+                switch (action) {
+                    case Action.SendTry a -> a.tryId().request();
+                    case Action.CancelTry a -> a.tryId().request();
+                    case Action.RelayAnswer a -> a.tryId().request();
+                    case Action.RefuseCaller a -> a.request();
+                    case Action.ReplayAnswer a -> a.request();
+                    default -> throw new IllegalArgumentException(action.toString());
+                };
+        CallRelay relay = relays.get(request);
+        if (relay != null) {
+            relay.carryOut(action);
+        }
+    }
+
+    /** Waits for the next event of a type and skips the others. */
+    <T extends Event> T await(Class<T> type) throws InterruptedException {
+        Event event;
+        do {
+            event = events.poll(RawSocket.SAFETY_MILLIS, TimeUnit.MILLISECONDS);
+            if (event == null) {
+                throw new AssertionError("no " + type.getSimpleName());
+            }
+        } while (!type.isInstance(event));
+        return type.cast(event);
+    }
+
+    List<Action> relayOnce(Event event) {
+        return switch (event) {
+            case Event.CallArrived e -> List.of(send(e.request(), 1, target));
+            case Event.TryAnswered e -> List.of(new Action.RelayAnswer(e.tryId()));
+            case Event.TryFailed e -> List.of(refusal(e));
+            case Event.CallerGone e -> List.of(new Action.CancelTry(new TryId(e.request(), 1)));
+            default -> List.of();
+        };
+    }
+
+    static Action.SendTry send(RequestId request, int number, BackendServer target) {
+        return new Action.SendTry(
+                new TryId(request, number), new ServiceId("s"), target, REMAINING_NANOS, 2, true);
+    }
+
+    static Action.RefuseCaller refusal(Event.TryFailed failed) {
+        RefusalReason reason = RefusalReason.BACKEND_SERVER_FAILED;
+        return new Action.RefuseCaller(
+                failed.tryId().request(),
+                failed.failure().mayHaveStarted()
+                        ? Refusal.unknown(reason)
+                        : Refusal.notRun(reason));
+    }
+
+    /** Gives the actions that an event causes. */
+    interface Script {
+        List<Action> actions(Event event);
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/http/ShellFixture.java
@@ -0,0 +1,113 @@
+package org.snipeslip.server.http;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.snipeslip.server.operator.ServerMetrics;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A caller port on loopback, one fake backend server, and the engine between them. */
+final class ShellFixture implements AutoCloseable {
+    static final CallLimits LIMITS = new CallLimits(4_096, 1_024, 1L << 30, 64 * 1024, 1L << 20);
+
+    final FakeBackend backend = new FakeBackend();
+    final ScriptedEngine engine;
+    final BackendConnections connections;
+    final CallerConnections callers = new CallerConnections();
+    final AtomicInteger mostBuffers = new AtomicInteger();
+    private final XnioWorker worker;
+    private final CallerListener listener;
+
+    ShellFixture() throws IOException {
+        this(100);
+    }
+
+    ShellFixture(int connectionLimit) throws IOException {
+        engine = new ScriptedEngine(backend.server(connectionLimit));
+        worker =
+                Xnio.getInstance()
+                        .createWorker(
+                                OptionMap.builder()
+                                        .set(Options.WORKER_IO_THREADS, 2)
+                                        .set(Options.TCP_NODELAY, true)
+                                        .getMap());
+        ByteBufferPool buffers = counted(new DefaultByteBufferPool(true, 16 * 1024));
+        connections = new BackendConnections(buffers, 1);
+        listener =
+                new CallerListener(
+                        new InetSocketAddress("127.0.0.1", 0),
+                        worker,
+                        buffers,
+                        LIMITS,
+                        new CallHandler(
+                                engine,
+                                connections,
+                                callers,
+                                new ServerMetrics(),
+                                LIMITS,
+                                "entry-1"));
+    }
+
+    RawSocket caller() throws IOException {
+        return RawSocket.connect(listener.address().getPort());
+    }
+
+    /** Connects and sends a request. */
+    RawSocket call(String request) throws IOException {
+        return caller().write(request);
+    }
+
+    static String get(String target) {
+        return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        callers.closeAll();
+        connections.close();
+        worker.shutdownNow();
+        backend.close();
+    }
+
+    /** Notes the highest number of buffers in use, the memory that streaming takes. */
+    private ByteBufferPool counted(ByteBufferPool pool) {
+        AtomicInteger inUse = new AtomicInteger();
+        return (ByteBufferPool)
+                java.lang.reflect.Proxy.newProxyInstance(
+                        ByteBufferPool.class.getClassLoader(),
+                        new Class<?>[] {ByteBufferPool.class},
+                        (proxy, method, args) -> {
+                            Object result = method.invoke(pool, args);
+                            if (!(result instanceof PooledByteBuffer pooled)) {
+                                return result;
+                            }
+                            mostBuffers.accumulateAndGet(inUse.incrementAndGet(), Math::max);
+                            return new PooledByteBuffer() {
+                                @Override
+                                public java.nio.ByteBuffer getBuffer() {
+                                    return pooled.getBuffer();
+                                }
+
+                                @Override
+                                public void close() {
+                                    if (pooled.isOpen()) {
+                                        inUse.decrementAndGet();
+                                        pooled.close();
+                                    }
+                                }
+
+                                @Override
+                                public boolean isOpen() {
+                                    return pooled.isOpen();
+                                }
+                            };
+                        });
+    }
+}
