--- a/core/src/main/java/org/snipeslip/core/call/CallSettings.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallSettings.java
@@ -62,6 +62,26 @@
                 measure);
     }
 
+    /**
+     * Returns these settings with another bound on waiting calls.
+     *
+     * @param newQueueLimit calls that may wait for one service
+     * @return the changed settings
+     */
+    public CallSettings withQueueLimit(int newQueueLimit) {
+        return new CallSettings(
+                maxTries,
+                maxDepth,
+                newQueueLimit,
+                instances,
+                policy,
+                retryPercent,
+                hedging,
+                queueTargetMillis,
+                queueIntervalMillis,
+                measure);
+    }
+
     /**
      * Returns these settings with another selection policy.
      *
