Add SWIM membership and spread the configuration between instances

Cause: instances did not know each other, and each one watched the configuration head in the object API itself.

Change: core.membership detects failures by SWIM with a local health multiplier; core.spread lets two watchers a region watch the head, announce a new generation and serve its parts to peers. StoreGate ignores failures of calls older than the last success and replaces a waiting watch by a newer one. A model of 12 instances in virtual time covers loss, duplication, late messages, partitions, pauses, restarts and object API outages.

--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -67,7 +67,7 @@
     /**
      * Sends a message to another instance; it may be lost.
      *
-     * @param to the receiver
+     * @param to the receiver, or null if only its address is known
      * @param address where it listens
      * @param message the message
      */
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -35,7 +35,7 @@
      */
     public Instance(InstanceSettings settings, ConfigCodec codec, long seed) {
         this.calls = new CallEngine(settings.call(), settings.region(), seed);
-        this.control = new ControlEngine(settings.control(), codec, seed + 1);
+        this.control = new ControlEngine(settings, codec, seed + 1);
         this.once = new OnceEngine();
         this.storeGate = new StoreGate(settings.control().store(), new SplittableRandom(seed + 2));
     }
@@ -69,6 +69,15 @@
         return inForce;
     }
 
+    /**
+     * Returns membership and configuration spread, for operators.
+     *
+     * @return the engine
+     */
+    public ControlEngine control() {
+        return control;
+    }
+
     /**
      * Returns the object API budget, for metrics.
      *
@@ -106,7 +115,10 @@
             case Event.PeerReceived e when e.message() instanceof ClaimMessage ->
                     once.handle(e, nowNanos, outbox);
             case Event.PeerReceived e -> control.handle(e, nowNanos, outbox);
-            case Event.StopRequested e -> outbox.add(new Action.FinishStop(calls.openCalls()));
+            case Event.StopRequested e -> {
+                control.handle(e, nowNanos, outbox);
+                outbox.add(new Action.FinishStop(calls.openCalls()));
+            }
         }
     }
 
--- a/core/src/main/java/org/snipeslip/core/peer/MemberUpdate.java
+++ b/core/src/main/java/org/snipeslip/core/peer/MemberUpdate.java
@@ -20,4 +20,24 @@
         FailureDomainId failureDomain,
         RegionId region,
         long incarnation,
-        MemberStatus status) {}
+        MemberStatus status) {
+    /**
+     * Returns the same member with another status at the same incarnation.
+     *
+     * @param newStatus the status
+     * @return the update
+     */
+    public MemberUpdate withStatus(MemberStatus newStatus) {
+        return new MemberUpdate(id, address, failureDomain, region, incarnation, newStatus);
+    }
+
+    /**
+     * Returns the same member at another incarnation.
+     *
+     * @param newIncarnation the incarnation
+     * @return the update
+     */
+    public MemberUpdate at(long newIncarnation) {
+        return new MemberUpdate(id, address, failureDomain, region, newIncarnation, status);
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/peer/MembershipMessage.java
+++ b/core/src/main/java/org/snipeslip/core/peer/MembershipMessage.java
@@ -6,6 +6,13 @@
 
 /** Messages of failure detection (SWIM). */
 public sealed interface MembershipMessage extends PeerMessage {
+    /**
+     * Returns the facts carried by the message.
+     *
+     * @return the gossip
+     */
+    Gossip gossip();
+
     /**
      * Asks a peer for an {@link Ack}.
      *
--- a/core/src/main/java/org/snipeslip/core/peer/SpreadMessage.java
+++ b/core/src/main/java/org/snipeslip/core/peer/SpreadMessage.java
@@ -1,5 +1,6 @@
 package org.snipeslip.core.peer;
 
+import io.vavr.control.Option;
 import java.util.List;
 import org.snipeslip.core.config.ConfigHead;
 import org.snipeslip.core.config.ConfigPart;
@@ -30,10 +31,10 @@
     /**
      * Answers a {@link ConfigFetch}.
      *
-     * @param head the head in force at the sender
+     * @param head the head in force at the sender, if the head was asked for
      * @param parts those of the wanted parts that fit into one message
      */
-    record ConfigParts(ConfigHead head, List<ConfigPart> parts) implements SpreadMessage {
+    record ConfigParts(Option<ConfigHead> head, List<ConfigPart> parts) implements SpreadMessage {
         /** Copies the list. */
         public ConfigParts {
             parts = List.copyOf(parts);
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/spread/Announcer.java
@@ -0,0 +1,70 @@
+package org.snipeslip.core.spread;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.snipeslip.core.id.Generation;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.peer.MemberStatus;
+import org.snipeslip.core.peer.MemberUpdate;
+import org.snipeslip.core.peer.SpreadMessage;
+
+/** Announces an adopted generation to those members that are not known to have it. */
+final class Announcer {
+    private static final int MEMBERS_PER_REGION = 2;
+
+    private final RegionId region;
+    private final PeerGenerations peers;
+    private final RandomGenerator random;
+
+    Announcer(RegionId region, PeerGenerations peers, RandomGenerator random) {
+        this.region = region;
+        this.peers = peers;
+        this.random = random;
+    }
+
+    /** Announces to every member of the own region. */
+    void toOwnRegion(Generation generation, Outbox outbox) {
+        for (MemberUpdate member : lacking(generation)) {
+            if (member.region().equals(region)) {
+                send(member, generation, outbox);
+            }
+        }
+    }
+
+    /** Announces to a few members of each other region. */
+    void toOtherRegions(Generation generation, Outbox outbox) {
+        Map<RegionId, List<MemberUpdate>> byRegion = new TreeMap<>();
+        for (MemberUpdate member : lacking(generation)) {
+            if (!member.region().equals(region) && member.status() == MemberStatus.ALIVE) {
+                byRegion.computeIfAbsent(member.region(), r -> new ArrayList<>()).add(member);
+            }
+        }
+        for (List<MemberUpdate> members : byRegion.values()) {
+            for (int i = 0; i < MEMBERS_PER_REGION && !members.isEmpty(); i++) {
+                send(members.remove(random.nextInt(members.size())), generation, outbox);
+            }
+        }
+    }
+
+    private List<MemberUpdate> lacking(Generation generation) {
+        List<MemberUpdate> lacking = new ArrayList<>();
+        for (MemberUpdate member : peers.view().members()) {
+            if (peers.member(member.id()) != null
+                    && generation.isNewerThan(peers.of(member.id()))) {
+                lacking.add(member);
+            }
+        }
+        return lacking;
+    }
+
+    private static void send(MemberUpdate to, Generation generation, Outbox outbox) {
+        outbox.add(
+                new Action.SendPeer(
+                        to.id(), to.address(), new SpreadMessage.ConfigAnnounce(generation)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/spread/StoreCallNumbers.java
@@ -0,0 +1,10 @@
+package org.snipeslip.core.spread;
+
+/** Numbers of the object API calls of the control engine. */
+final class StoreCallNumbers {
+    private long last;
+
+    long next() {
+        return ++last;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/spread/WatcherRank.java
@@ -0,0 +1,55 @@
+package org.snipeslip.core.spread;
+
+import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.membership.MemberView;
+import org.snipeslip.core.peer.MemberStatus;
+import org.snipeslip.core.peer.MemberUpdate;
+
+/**
+ * Rendezvous rank (Thaler and Ravishankar 1998) of an instance among the live members of its
+ * region. The members agree on the ranks without messages as far as their views agree.
+ */
+final class WatcherRank {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private WatcherRank() {}
+
+    /** Returns the rank, 0 for the first, or {@code Integer.MAX_VALUE} if it is not alive. */
+    static int of(MemberView view, InstanceId id) {
+        MemberUpdate self = null;
+        for (MemberUpdate member : view.members()) {
+            if (member.id().equals(id) && member.status() == MemberStatus.ALIVE) {
+                self = member;
+            }
+        }
+        if (self == null) {
+            return Integer.MAX_VALUE;
+        }
+        int rank = 0;
+        long weight = weight(self.region(), id);
+        for (MemberUpdate member : view.members()) {
+            if (member.status() == MemberStatus.ALIVE && member.region().equals(self.region())) {
+                long other = weight(member.region(), member.id());
+                int order = Long.compareUnsigned(other, weight);
+                if (order > 0 || order == 0 && member.id().compareTo(id) < 0) {
+                    rank++;
+                }
+            }
+        }
+        return rank;
+    }
+
+    static long weight(RegionId region, InstanceId id) {
+        long hash = FNV_OFFSET;
+        String text = region.value() + "/" + id.value();
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+        }
+        // The finaliser of MurmurHash3 spreads ids that differ only in their last digit.
+        hash = (hash ^ hash >>> 33) * 0xff51afd7ed558ccdL;
+        hash = (hash ^ hash >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return hash ^ hash >>> 33;
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/store/StoreGate.java
+++ b/core/src/main/java/org/snipeslip/core/store/StoreGate.java
@@ -44,6 +44,7 @@
     private long blockedUntilNanos;
     private long trialNanos;
     private StoreCallId trial;
+    private long answeredSentNanos = Long.MIN_VALUE;
     private long wakeNanos;
     private boolean wakeSet;
 
@@ -102,7 +103,9 @@
         if (!isOutage(answered.answer())) {
             failures = 0;
             blockedUntilNanos = nowNanos;
-        } else if (failures == 0 || sent >= trialNanos) {
+            answeredSentNanos = Math.max(answeredSentNanos, sent);
+        } else if (sent >= answeredSentNanos && (failures == 0 || sent >= trialNanos)) {
+            // A failure of a call older than the last success tells nothing new.
             backOff(nowNanos);
         }
     }
@@ -157,6 +160,7 @@
     }
 
     private void enqueue(Action.CallStore call, long nowNanos) {
+        replaceWatch(call);
         if (queue.size() >= settings.queueLimit()) {
             Waiting oldest = null;
             for (Waiting waiting : queue) {
@@ -174,6 +178,21 @@
         queue.add(new Waiting(call, nowNanos));
     }
 
+    /** A newer watch of the same key takes the place of one that still waits for the budget. */
+    private void replaceWatch(Action.CallStore call) {
+        if (call.request() instanceof StoreRequest.Watch watch) {
+            for (Waiting waiting : queue) {
+                if (waiting.call.request() instanceof StoreRequest.Watch older
+                        && older.key().equals(watch.key())
+                        && waiting.call.call().owner() == call.call().owner()) {
+                    queue.remove(waiting);
+                    refuse(waiting);
+                    return;
+                }
+            }
+        }
+    }
+
     private void refuse(Waiting waiting) {
         refused.add(
                 new Event.StoreAnswered(
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/spread/ControlWorld.java
@@ -0,0 +1,270 @@
+package org.snipeslip.core.spread;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import org.snipeslip.core.call.CallSettings;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Event;
+import org.snipeslip.core.instance.Instance;
+import org.snipeslip.core.instance.InstanceSettings;
+import org.snipeslip.core.instance.StopSettings;
+import org.snipeslip.core.instance.TimerId;
+import org.snipeslip.core.peer.MemberStatus;
+import org.snipeslip.core.peer.MemberUpdate;
+import org.snipeslip.core.peer.MembershipMessage;
+import org.snipeslip.core.peer.PeerAddress;
+import org.snipeslip.core.peer.PeerMessage;
+import org.snipeslip.core.peer.SpreadMessage;
+import org.snipeslip.core.store.ListedInstance;
+import org.snipeslip.core.store.StoreSettings;
+
+/** Instances, a peer network and an object API in virtual time, with their failures. */
+final class ControlWorld {
+    final VirtualTime time = new VirtualTime();
+    final Random random;
+    final FakeStore store;
+    final List<Node> nodes = new ArrayList<>();
+    final Set<String> cutRegions = new TreeSet<>();
+    int lossPercent;
+    int twicePercent;
+    int maxDelayMillis = 20;
+    long messages;
+    private final ControlSettings settings;
+
+    ControlWorld(long seed, int regions, int perRegion) {
+        this(seed, regions, perRegion, ControlSettings.DEFAULT);
+    }
+
+    ControlWorld(long seed, int regions, int perRegion, ControlSettings settings) {
+        this.random = new Random(seed);
+        this.store = new FakeStore(time, random);
+        this.settings = settings;
+        for (int i = 0; i < regions * perRegion; i++) {
+            nodes.add(new Node(i, "r" + i % regions));
+        }
+        nodes.forEach(node -> store.instances.add(node.listed()));
+    }
+
+    void start() {
+        nodes.forEach(node -> time.after(random.nextInt(500), node::start));
+    }
+
+    /** Removes every failure; instances that are down stay down. */
+    void heal() {
+        store.mode = FakeStore.Mode.UP;
+        cutRegions.clear();
+        lossPercent = 0;
+        twicePercent = 0;
+        maxDelayMillis = 20;
+    }
+
+    List<Node> live() {
+        return nodes.stream().filter(node -> node.up).toList();
+    }
+
+    private boolean connected(Node a, Node b) {
+        return a.region.equals(b.region)
+                || !cutRegions.contains(a.region) && !cutRegions.contains(b.region);
+    }
+
+    private void send(Node from, PeerAddress address, PeerMessage message) {
+        messages++;
+        checkSize(message);
+        int copies = random.nextInt(100) < twicePercent ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (random.nextInt(100) < lossPercent) {
+                continue;
+            }
+            long delay = 1 + random.nextInt(maxDelayMillis);
+            time.after(
+                    delay,
+                    () -> {
+                        Node to = nodes.get(address.port());
+                        if (connected(from, to)) {
+                            to.handle(new Event.PeerReceived(from.id, message));
+                        }
+                    });
+        }
+    }
+
+    private static void checkSize(PeerMessage message) {
+        switch (message) {
+            case MembershipMessage m ->
+                    assertThat(m.gossip().updates()).hasSizeLessThanOrEqualTo(16);
+            case SpreadMessage.ConfigFetch m ->
+                    assertThat(m.digests()).hasSizeLessThanOrEqualTo(1_024);
+            case SpreadMessage.ConfigParts m ->
+                    assertThat(m.parts().stream().mapToLong(p -> p.text().length()).sum())
+                            .isLessThanOrEqualTo(512 * 1_024);
+            default -> {
+                // Messages of a fixed size.
+            }
+        }
+    }
+
+    /** One instance with the shell around it. */
+    final class Node {
+        final InstanceId id;
+        final String region;
+        boolean up;
+        Instance instance;
+        private final int number;
+        private final Map<TimerId, Long> timers = new HashMap<>();
+        private final List<Long> callTimes = new ArrayList<>();
+        private long incarnation = 1;
+        private long life;
+        private long timerNumber;
+        private long pausedUntilNanos;
+        private long shownGeneration;
+        private int callsInFlight;
+
+        Node(int number, String region) {
+            this.number = number;
+            this.region = region;
+            this.id = new InstanceId("i" + number);
+        }
+
+        ListedInstance listed() {
+            return new ListedInstance(id, "h", number, new FailureDomainId(region), false);
+        }
+
+        void start() {
+            InstanceSettings own =
+                    new InstanceSettings(
+                            id,
+                            new FailureDomainId(region),
+                            new RegionId(region),
+                            new PeerAddress("h", number),
+                            incarnation++,
+                            CallSettings.DEFAULT,
+                            settings,
+                            StopSettings.DEFAULT);
+            instance = new Instance(own, new TextCodec(), random.nextLong());
+            up = true;
+            life++;
+            shownGeneration = 0;
+            callTimes.clear();
+            callsInFlight = 0;
+            timers.clear();
+            handle(new Event.Started());
+        }
+
+        void stop() {
+            up = false;
+            life++;
+        }
+
+        void pause(long millis) {
+            pausedUntilNanos = time.nowNanos() + millis * VirtualTime.MILLI;
+        }
+
+        MemberStatus statusOf(Node other) {
+            return member(other).map(MemberUpdate::status).orElse(MemberStatus.DEAD);
+        }
+
+        long incarnationOf(Node other) {
+            return member(other).map(MemberUpdate::incarnation).orElse(0L);
+        }
+
+        private Optional<MemberUpdate> member(Node other) {
+            return instance.control().members().members().stream()
+                    .filter(member -> member.id().equals(other.id))
+                    .findFirst();
+        }
+
+        long generation() {
+            return instance.configInForce().generation().number();
+        }
+
+        void handle(Event event) {
+            if (!up) {
+                return;
+            }
+            if (time.nowNanos() < pausedUntilNanos) {
+                long during = life;
+                time.afterNanos(
+                        pausedUntilNanos - time.nowNanos(),
+                        () -> {
+                            if (life == during) {
+                                handle(event);
+                            }
+                        });
+                return;
+            }
+            instance.handle(event, time.nowNanos()).forEach(this::carryOut);
+        }
+
+        private void carryOut(Action action) {
+            switch (action) {
+                case Action.SendPeer a -> send(this, a.address(), a.message());
+                case Action.CallStore a -> call(a);
+                case Action.SetTimer a -> setTimer(a);
+                case Action.ConfigAdopted a -> {
+                    long generation = a.config().generation().number();
+                    assertThat(generation).as("adopted by " + id).isGreaterThan(shownGeneration);
+                    assertThat(a.config().homeRegions())
+                            .as("whole configuration")
+                            .containsKey(new RegionId("g" + generation));
+                    shownGeneration = generation;
+                }
+                default -> {
+                    // Actions that the model does not need.
+                }
+            }
+        }
+
+        private void call(Action.CallStore call) {
+            checkBudget();
+            long during = life;
+            callsInFlight++;
+            boolean reachable = !cutRegions.contains(region) || region.equals("r0");
+            store.call(
+                    call.request(),
+                    reachable,
+                    answer -> {
+                        if (life == during) {
+                            callsInFlight--;
+                            handle(new Event.StoreAnswered(call.call(), answer));
+                        }
+                    });
+        }
+
+        private void checkBudget() {
+            StoreSettings budget = settings.store();
+            callTimes.add(time.nowNanos());
+            assertThat(callsInFlight).as("in flight").isLessThan(budget.maxInFlight());
+            int last = callTimes.size() - 1;
+            for (int first = Math.max(0, last - 300); first <= last; first += 7) {
+                double seconds = (callTimes.get(last) - callTimes.get(first)) / 1e9;
+                assertThat(last - first + 1.0)
+                        .as("object API calls of " + id)
+                        .isLessThanOrEqualTo(
+                                budget.burst() + seconds * budget.callsPerSecond() + 1e-6);
+            }
+        }
+
+        private void setTimer(Action.SetTimer order) {
+            long timer = ++timerNumber;
+            long during = life;
+            timers.put(order.timer(), timer);
+            time.afterNanos(
+                    order.delayNanos(),
+                    () -> {
+                        if (life == during && timers.get(order.timer()) == timer) {
+                            handle(new Event.TimerFired(order.timer()));
+                        }
+                    });
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/spread/VirtualTime.java
@@ -0,0 +1,39 @@
+package org.snipeslip.core.spread;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Runs tasks in order of their virtual time. */
+final class VirtualTime {
+    static final long MILLI = 1_000_000;
+
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::number));
+    private long nowNanos;
+    private long number;
+
+    long nowNanos() {
+        return nowNanos;
+    }
+
+    void after(long millis, Runnable action) {
+        afterNanos(millis * MILLI, action);
+    }
+
+    void afterNanos(long nanos, Runnable action) {
+        tasks.add(new Task(nowNanos + nanos, number++, action));
+    }
+
+    void run(long millis) {
+        long endNanos = nowNanos + millis * MILLI;
+        while (!tasks.isEmpty() && tasks.peek().atNanos <= endNanos) {
+            Task task = tasks.remove();
+            nowNanos = task.atNanos;
+            task.action.run();
+        }
+        nowNanos = endNanos;
+    }
+
+    private record Task(long atNanos, long number, Runnable action) {}
+}
