--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -37,7 +37,7 @@
     public Instance(InstanceSettings settings, ConfigCodec codec, long seed) {
         this.calls =
                 new CallEngine(settings.call(), settings.region(), settings.failureDomain(), seed);
-        this.control = new ControlEngine(settings.control(), codec, seed + 1);
+        this.control = new ControlEngine(settings, codec, seed + 1);
         this.once =
                 new OnceEngine(
                         settings.id(),
@@ -83,6 +83,15 @@
         return inForce;
     }
 
+    /**
+     * Returns membership and configuration spread, for operators.
+     *
+     * @return the engine
+     */
+    public ControlEngine control() {
+        return control;
+    }
+
     /**
      * Returns the object API budget, for metrics.
      *
