Repair a published configuration with missing or damaged parts

Cause: publish reads the configuration in force first, so a damaged part kept every later publication out.

Messages of faults leave out empty parts.

--- a/cli/src/main/java/org/snipeslip/cli/PublishCommand.java
+++ b/cli/src/main/java/org/snipeslip/cli/PublishCommand.java
@@ -14,6 +14,7 @@
 import org.snipeslip.server.config.ConfigInput;
 import org.snipeslip.server.config.ObjectStore;
 import org.snipeslip.server.config.PublishedConfig;
+import org.snipeslip.server.config.PublishedReader;
 import org.snipeslip.server.config.StoreProblem;
 
 /** Checks configuration files and publishes them as one set. */
@@ -26,6 +27,12 @@
                     .withRequiredArg()
                     .ofType(Long.class);
 
+    private final OptionSpec<Void> repair =
+            parser().accepts(
+                            "repair",
+                            "Publish also if parts of the configuration in force are missing or"
+                                    + " damaged.");
+
     PublishCommand() {
         super(
                 "publish",
@@ -42,7 +49,11 @@
             InputFiles.print(faults, console);
             return ExitCode.FAULTS;
         }
-        Either<StoreProblem, PublishedConfig> base = reader(store, console).read();
+        PublishedReader reader = reader(store, console);
+        Either<StoreProblem, PublishedConfig> base = reader.read();
+        if (options.has(repair) && base.isLeft() && isDamage(base.getLeft())) {
+            base = reader.readHead().map(PublishedConfig::withoutParts);
+        }
         if (base.isLeft()) {
             return report(base, console);
         }
@@ -56,6 +67,11 @@
                 .print(publisher(store, console).publish(base.get(), input.configObjects()));
     }
 
+    private static boolean isDamage(StoreProblem problem) {
+        return problem instanceof StoreProblem.Damaged
+                || problem instanceof StoreProblem.MissingPart;
+    }
+
     /** Files that are older than a "domain leave" would silently return the failure domain. */
     private static void warnOfSwitchedDomains(
             List<ConfigObject> published, List<ConfigObject> files, Console console) {
--- a/core/src/main/java/org/snipeslip/core/error/ConfigFault.java
+++ b/core/src/main/java/org/snipeslip/core/error/ConfigFault.java
@@ -1,5 +1,8 @@
 package org.snipeslip.core.error;
 
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
 /**
  * One fault in a set of configuration objects.
  *
@@ -12,7 +15,9 @@
 public record ConfigFault(String source, String object, String field, Rule rule, String detail) {
     @Override
     public String toString() {
-        return source + ": " + object + ": " + field + ": " + rule + ": " + detail;
+        return Stream.of(source, object, field, rule.name(), detail)
+                .filter(text -> !text.isEmpty())
+                .collect(Collectors.joining(": "));
     }
 
     /** The rules of a configuration. */
--- a/server/src/main/java/org/snipeslip/server/config/PublishedConfig.java
+++ b/server/src/main/java/org/snipeslip/server/config/PublishedConfig.java
@@ -21,4 +21,15 @@
     public PublishedConfig {
         objects = List.copyOf(objects);
     }
+
+    /**
+     * Forgets the parts, so that a publication in place of this one writes all of its own. That
+     * repairs a configuration with missing or damaged parts.
+     *
+     * @return the same head version and generation without parts and objects
+     */
+    public PublishedConfig withoutParts() {
+        ConfigHead bare = new ConfigHead(head.generation(), head.writer(), List.of());
+        return new PublishedConfig(headVersion, bare, List.of());
+    }
 }
--- a/server/src/test/java/org/snipeslip/server/config/PublisherTest.java
+++ b/server/src/test/java/org/snipeslip/server/config/PublisherTest.java
@@ -229,4 +229,20 @@
         store.down = true;
         assertThat(reader().read().getLeft()).isInstanceOf(StoreProblem.Unavailable.class);
     }
+
+    /** Guards against a damaged part that keeps every later publication out. */
+    @Test
+    void repairsDamagedAndMissingParts() {
+        publish(set(1, 2));
+        List<String> digests = store.head().digests();
+        String damaged = ConfigHead.PART_PREFIX + digests.getFirst();
+        store.objects.put(damaged, new StoredObject(damaged, "{", 99));
+        store.objects.remove(ConfigHead.PART_PREFIX + digests.getLast());
+        PublishedConfig base = reader().readHead().get().withoutParts();
+        assertThat(publisher().publish(base, set(1, 2)))
+                .isInstanceOf(PublishResult.Published.class);
+        PublishedConfig published = reader().read().get();
+        assertThat(published.head().generation()).isEqualTo(new Generation(2));
+        assertThat(published.objects()).containsExactlyElementsOf(set(1, 2));
+    }
 }
