Refuse line breaks at the end of settings values

Cause: $ in a pattern also matches before a final line break, so a name could end with one, and an address with one ended in an uncaught exception.

Tests read the operator port of a real instance and compare README.md with the commands, exit codes and keys of the program.

--- a/cli/src/test/java/org/snipeslip/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/snipeslip/cli/CommandLineTest.java
@@ -16,6 +16,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.snipeslip.server.runtime.EntryProcess;
+import org.snipeslip.server.settings.ProcessSettings;
+import org.snipeslip.server.settings.SettingsReader;
 import org.snipeslip.standin.ObjectApiStandIn;
 
 /** Guards against exit codes and outputs that mislead a script. */
@@ -142,6 +145,49 @@
         }
     }
 
+    /** Guards against an operator port whose answer the command cannot read. */
+    @Test
+    void readsTheOperatorPortOfAnInstance() throws IOException, InterruptedException {
+        int operatorPort = freePort();
+        String settings =
+                """
+                {instance: entry-1, failureDomain: fleuve-1, region: fleuve,
+                 callerAddress: "127.0.0.1:%d", operatorAddress: "127.0.0.1:%d",
+                 peerAddress: "127.0.0.1:%d", objectApi: "http://127.0.0.1:%d"}
+                """
+                        .formatted(freePort(), operatorPort, freePort(), freePort());
+        ProcessSettings read = new SettingsReader().parse(settings, folder, 1).get();
+        String operator = "http://127.0.0.1:" + operatorPort;
+        try (EntryProcess process = new EntryProcess(read)) {
+            assertThat(run("status", "--json", "--operators", operator)).isZero();
+            assertThat(out()).contains("\"ready\" : false", "\"generation\" : 0");
+            assertThat(run("explain", "unknown", "--operator", operator)).isEqualTo(1);
+        }
+    }
+
+    /** Guards against commands, exit codes and keys that the README does not name. */
+    @Test
+    void readmeNamesCommandsExitCodesAndKeys() throws IOException, InterruptedException {
+        String readme = Files.readString(Path.of("..", "README.md"));
+        for (ExitCode exitCode : ExitCode.values()) {
+            assertThat(readme).contains("| " + exitCode.code() + " | ");
+        }
+        run("--help");
+        List<String> commands =
+                out().lines()
+                        .filter(line -> line.matches("  [a-z]+ .*"))
+                        .map(line -> line.strip().split(" ")[0])
+                        .toList();
+        assertThat(commands)
+                .hasSize(11)
+                .allSatisfy(command -> assertThat(readme).contains("| `" + command));
+        run("run", "--settings", file("unknown.yaml", "unknown: 1\n"));
+        String keys = err().replaceAll("(?s).*allowed \\[([^]]*)].*", "$1");
+        assertThat(keys.split(", "))
+                .hasSizeGreaterThan(15)
+                .allSatisfy(key -> assertThat(readme).containsPattern("`" + key + "[`.]"));
+    }
+
     /** Guards against success reported while the object API or an instance is down. */
     @ParameterizedTest
     @CsvSource({
--- a/server/src/main/java/org/snipeslip/server/settings/SettingsAssembler.java
+++ b/server/src/main/java/org/snipeslip/server/settings/SettingsAssembler.java
@@ -170,8 +170,8 @@
     private InetSocketAddress address(String key, String text) {
         int colon = text.lastIndexOf(':');
         String host = text.substring(0, colon).replace("[", "").replace("]", "");
-        int port = Integer.parseInt(text.substring(colon + 1));
         try {
+            int port = Integer.parseInt(text.substring(colon + 1));
             InetAddress.ofLiteral(host);
             if (port >= 1 && port <= MAX_PORT) {
                 return InetSocketAddress.createUnresolved(host, port);
--- a/server/src/test/java/org/snipeslip/server/settings/SettingsReaderTest.java
+++ b/server/src/test/java/org/snipeslip/server/settings/SettingsReaderTest.java
@@ -117,18 +117,20 @@
                         });
     }
 
-    /** Guards against host names, which would be resolved when the process starts. */
+    /** Guards against host names, resolved when the process starts, and against line breaks. */
     @ParameterizedTest
     @CsvSource({
         "callerAddress, localhost:80",
         "callerAddress, 127.0.0.1:0",
         "peerAddress, 127.0.0.1:65536",
         "operatorAddress, 127.0.0.256:80",
+        "operatorAddress, '127.0.0.1:80\\\\n'",
+        "instance, 'entry-1\\\\n'",
         "objectApi, http://store.example:80",
         "objectApi, http://127.0.0.1:99999",
         "objectApi, https://127.0.0.1:80"
     })
-    void refusesAddress(String key, String value) {
+    void refusesFormOf(String key, String value) {
         String text = REQUIRED.replaceAll("(?m)^" + key + ": .*$", key + ": \"" + value + "\"");
         assertThat(read(text).getLeft())
                 .singleElement()
