Bound the bodies of recorded answers, and release a log once it is replayed

Cause: 65,536 answers with bodies of 1 KiB take about 110 MB per partition, and the listed log was held after its takeover. The segment size of the single tests was not the one their parameter named. Change: 8 MiB of bodies per partition, further answers are kept without body; the replayed log is released; the test settings use the segment size given. Conclusion: the memory of a partition is bounded in bytes as well as in records.

--- a/core/src/main/java/org/snipeslip/core/once/ClaimRecord.java
+++ b/core/src/main/java/org/snipeslip/core/once/ClaimRecord.java
@@ -29,6 +29,12 @@
         return new ClaimRecord(digest, fingerprint, grantee, newEnd, bounded(newAnswer));
     }
 
+    ClaimRecord withoutBody() {
+        RecordableAnswer kept =
+                new RecordableAnswer(answer.status(), answer.contentType(), "", false);
+        return new ClaimRecord(digest, fingerprint, grantee, end, kept);
+    }
+
     private static RecordableAnswer bounded(RecordableAnswer answer) {
         String type = answer.contentType();
         if (answer.body().length() <= BODY_LIMIT && type.length() <= CONTENT_TYPE_LIMIT) {
--- a/core/src/main/java/org/snipeslip/core/once/ClaimTable.java
+++ b/core/src/main/java/org/snipeslip/core/once/ClaimTable.java
@@ -8,12 +8,20 @@
 
 /**
  * The records of one partition, in order of their last change. Holds a bounded number of records;
- * none is dropped before the retention time, so a full table takes no new key.
+ * none is dropped before the retention time, so a full table takes no new key. Bodies of answers
+ * are bounded together; past the bound an answer is kept without its body.
  */
 final class ClaimTable {
+    /**
+     * Bytes of bodies per partition. An instance of 16 owns two partitions, and has 64 MB for all
+     * its tables.
+     */
+    static final int BODY_LIMIT_BYTES = 8 * 1024 * 1024;
+
     private final int limit;
     private final long retentionNanos;
     private final LinkedHashMap<String, Entry> entries = new LinkedHashMap<>();
+    private int bodyBytes;
 
     ClaimTable(OnceSettings settings) {
         this.limit = settings.maxRecords();
@@ -26,8 +34,12 @@
     }
 
     void put(ClaimRecord record, long nowNanos) {
-        entries.remove(record.digest());
-        entries.put(record.digest(), new Entry(record, nowNanos));
+        Entry replaced = entries.remove(record.digest());
+        bodyBytes -= replaced == null ? 0 : replaced.bodyBytes();
+        boolean fits = bodyBytes + record.answer().body().length() <= BODY_LIMIT_BYTES;
+        Entry entry = new Entry(fits ? record : record.withoutBody(), nowNanos);
+        entries.put(record.digest(), entry);
+        bodyBytes += entry.bodyBytes();
     }
 
     /** Applies the end of a claim; returns false if the key is not granted to that claim. */
@@ -53,7 +65,12 @@
     /** Removes the records whose retention time has passed. */
     void prune(long nowNanos) {
         Iterator<Entry> oldest = entries.values().iterator();
-        while (oldest.hasNext() && nowNanos - oldest.next().changedNanos >= retentionNanos) {
+        while (oldest.hasNext()) {
+            Entry entry = oldest.next();
+            if (nowNanos - entry.changedNanos < retentionNanos) {
+                return;
+            }
+            bodyBytes -= entry.bodyBytes();
             oldest.remove();
         }
     }
@@ -72,6 +89,7 @@
 
     void clear() {
         entries.clear();
+        bodyBytes = 0;
     }
 
     void replaceBy(Map<String, ClaimRecord> records, long nowNanos) {
@@ -80,6 +98,10 @@
     }
 
     private record Entry(ClaimRecord record, long changedNanos) {
+        int bodyBytes() {
+            return record.answer().body().length();
+        }
+
         ClaimMessage.ClaimRecordValue toValue(long nowNanos) {
             return new ClaimMessage.ClaimRecordValue(
                     record.digest(),
--- a/core/src/main/java/org/snipeslip/core/once/DurablePartition.java
+++ b/core/src/main/java/org/snipeslip/core/once/DurablePartition.java
@@ -183,6 +183,7 @@
         }
         waitUntilNanos = seenNanos + scope.settings.takeoverNanos();
         if (!isWanted(nowNanos)) {
+            log.takeReplay();
             stepDown();
         } else if (!log.mayWrite(nowNanos)) {
             state = State.IDLE;
@@ -193,6 +194,7 @@
             log.append(Segment.Kind.TAKEOVER, List.of(), log.base(), nowNanos);
         } else {
             state = State.WAITING;
+            log.takeReplay();
             table.clear();
             unwritten.clear();
             claims.refuseAll(Verdict.UNAVAILABLE_UNKNOWN);
@@ -211,7 +213,7 @@
         switch (state) {
             case TAKING -> {
                 state = State.OWNED;
-                unwritten.replaceTable(log.replay(), nowNanos);
+                unwritten.replaceTable(log.takeReplay(), nowNanos);
                 checkpoint = null;
                 claims.takeQueued().forEach(ask -> decide(ask, nowNanos));
             }
--- a/core/src/main/java/org/snipeslip/core/once/PartitionLog.java
+++ b/core/src/main/java/org/snipeslip/core/once/PartitionLog.java
@@ -84,6 +84,13 @@
         return replay;
     }
 
+    /** Returns what was listed and keeps it no longer. */
+    Replay takeReplay() {
+        Replay taken = replay;
+        replay = null;
+        return taken;
+    }
+
     void list(long nowNanos) {
         listStartNanos = nowNanos;
         listCall = scope.call(partition, new StoreRequest.ListPrefix(id.logPrefix()));
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/once/ClaimTableTest.java
@@ -0,0 +1,40 @@
+package org.snipeslip.core.once;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.instance.RecordableAnswer;
+import org.snipeslip.core.peer.ClaimMessage;
+
+/** Guards against answers that fill the memory, and against records dropped to make room. */
+class ClaimTableTest {
+    private static final RecordableAnswer ANSWER =
+            new RecordableAnswer(200, "text/plain", "x".repeat(1_368), true);
+    private static final int FITTING = ClaimTable.BODY_LIMIT_BYTES / 1_368;
+
+    @Test
+    void keepsAnswersWithoutBodyPastTheBound() {
+        ClaimTable table = new ClaimTable(OnceSettings.DEFAULT);
+        for (int i = 0; i < FITTING + 10; i++) {
+            table.put(record(i), i);
+        }
+        assertThat(table.get("k0").answer()).isEqualTo(ANSWER);
+        assertThat(table.get("k" + (FITTING - 1)).answer()).isEqualTo(ANSWER);
+        assertThat(table.get("k" + FITTING).answer())
+                .isEqualTo(new RecordableAnswer(200, "text/plain", "", false));
+        table.prune(OnceSettings.DEFAULT.retentionNanos());
+        table.put(record(FITTING), FITTING);
+        assertThat(table.get("k0")).isNull();
+        assertThat(table.get("k" + FITTING).answer()).isEqualTo(ANSWER);
+    }
+
+    private static ClaimRecord record(int number) {
+        return new ClaimRecord(
+                "k" + number,
+                "print",
+                new Grantee(new InstanceId("i"), 1, number),
+                ClaimMessage.End.ANSWERED,
+                ANSWER);
+    }
+}
--- a/core/src/test/java/org/snipeslip/core/once/OnceEngineTest.java
+++ b/core/src/test/java/org/snipeslip/core/once/OnceEngineTest.java
@@ -269,7 +269,7 @@
                 4_096,
                 16_384,
                 32,
-                4_096,
+                segmentBytes,
                 checkpointSegments,
                 10);
     }
