Carry peer messages over authenticated TCP and start it with the process

Cause: SendPeer actions were logged and dropped, so instances stayed alone.

Settings gain peerKey and seeds; the process starts the transport and InstanceRuntime carries SendPeer. A model test shows that gossip repairs lost announcements.

--- a/core/src/test/java/org/snipeslip/core/spread/ControlModelTest.java
+++ b/core/src/test/java/org/snipeslip/core/spread/ControlModelTest.java
@@ -18,6 +18,9 @@
     /** Time in which every fault of the past must be out of the member tables. */
     private static final long SETTLE_MILLIS = 60_000;
 
+    /** Time for repair by gossip of one ping a second; less than half the poll interval. */
+    private static final long REPAIR_MILLIS = 10_000;
+
     private static final int REGIONS = 3;
 
     /** Guards against an instance that misses a new configuration or falls back to an older one. */
@@ -73,6 +76,16 @@
         checkGeneration(world, 2);
     }
 
+    /** Guards against instances that learn a generation by announcements or polls only. */
+    @Property(tries = 20, seed = "20261209")
+    void gossipRepairsLostAnnouncements(@ForAll long seed) {
+        ControlWorld world = started(seed);
+        world.losesAnnouncements = true;
+        publish(world, 2);
+        world.time.run(REPAIR_MILLIS);
+        checkGeneration(world, 2);
+    }
+
     /** Guards against a dead instance that stays in a view and a live one that stays out of it. */
     @Property(tries = 40, seed = "20261207")
     void dropsTheDeadAndFindsTheLiving(@ForAll long seed, @ForAll boolean isListEmpty) {
--- a/core/src/test/java/org/snipeslip/core/spread/ControlWorld.java
+++ b/core/src/test/java/org/snipeslip/core/spread/ControlWorld.java
@@ -37,6 +37,7 @@
     final List<Node> nodes = new ArrayList<>();
     final Set<String> cutRegions = new TreeSet<>();
     int lossPercent;
+    boolean losesAnnouncements;
     int twicePercent;
     int maxDelayMillis = 20;
     long messages;
@@ -83,7 +84,8 @@
         checkSize(message);
         int copies = random.nextInt(100) < twicePercent ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            if (random.nextInt(100) < lossPercent) {
+            boolean lost = losesAnnouncements && message instanceof SpreadMessage.ConfigAnnounce;
+            if (lost || random.nextInt(100) < lossPercent) {
                 continue;
             }
             long delay = 1 + random.nextInt(maxDelayMillis);
--- /dev/null
+++ b/peer/src/main/java/org/snipeslip/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Transport and codec of the messages between instances. */
+package org.snipeslip.peer;
--- /dev/null
+++ b/peer/src/test/java/org/snipeslip/peer/ControlCost.java
@@ -0,0 +1,311 @@
+package org.snipeslip.peer;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import org.snipeslip.core.call.CallSettings;
+import org.snipeslip.core.config.ConfigCodec;
+import org.snipeslip.core.config.ConfigHead;
+import org.snipeslip.core.config.ConfigPart;
+import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.error.ConfigFault;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.Generation;
+import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Event;
+import org.snipeslip.core.instance.Instance;
+import org.snipeslip.core.instance.InstanceSettings;
+import org.snipeslip.core.instance.StopSettings;
+import org.snipeslip.core.instance.TimerId;
+import org.snipeslip.core.peer.PeerAddress;
+import org.snipeslip.core.spread.ControlSettings;
+import org.snipeslip.core.store.StoreAnswer;
+import org.snipeslip.core.store.StoreRequest;
+import org.snipeslip.core.store.StoredObject;
+
+/**
+ * Measures what membership and configuration spread cost: instances in virtual time on a perfect
+ * network. Prints one line for each argument pair "engines upstreams".
+ */
+final class ControlCost {
+    private static final long SECOND = 1_000_000_000;
+    private static final int REGIONS = 3;
+    private static final int UPSTREAMS_PER_PART = 29;
+    private static final int SETTLE_SECONDS = 60;
+    private static final int MEASURED_SECONDS = 60;
+    private static final int CHANGES = 6;
+
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::number));
+    private final Map<String, StoredObject> objects = new HashMap<>();
+    private final List<Instance> instances = new ArrayList<>();
+    private final List<Map<TimerId, Long>> timers = new ArrayList<>();
+    private final int upstreams;
+    private long now;
+    private long number;
+    private long version;
+    private long messages;
+    private long bytes;
+    private long storeCalls;
+    private long cpuNanos;
+
+    private ControlCost(int upstreams) {
+        this.upstreams = upstreams;
+    }
+
+    private record Task(long atNanos, long number, Runnable action) {}
+
+    public static void main(String[] args) {
+        for (int i = 0; i < args.length; i += 2) {
+            measure(Integer.parseInt(args[i]), Integer.parseInt(args[i + 1]), i == 0);
+        }
+    }
+
+    private static void measure(int engines, int upstreams, boolean isFirst) {
+        if (isFirst) {
+            // The first run warms the compiler up.
+            new ControlCost(upstreams).run(engines);
+        }
+        new ControlCost(upstreams).run(engines);
+    }
+
+    private void run(int engines) {
+        publish(1);
+        long heapBefore = usedHeap();
+        for (int i = 0; i < engines; i++) {
+            add(i);
+        }
+        run(SETTLE_SECONDS * SECOND);
+        double heapKib = (usedHeap() - heapBefore) / 1024.0 / engines;
+        long startBytes = bytes / engines;
+        String rest = rates(engines);
+        for (int change = 0; change < CHANGES; change++) {
+            publish(2 + change);
+            run(MEASURED_SECONDS / CHANGES * SECOND);
+        }
+        String changing = rates(engines);
+        System.out.printf(
+                "engines %d upstreams %d parts %d heap KiB/engine %.0f start B/engine %d%n"
+                        + "  at rest   %s%n  changing  %s (%d changes in %d s)%n",
+                engines,
+                upstreams,
+                parts(1).size(),
+                heapKib,
+                startBytes,
+                rest,
+                changing,
+                CHANGES,
+                MEASURED_SECONDS);
+        if (instances.stream().anyMatch(i -> i.configInForce().generation().number() != 7)) {
+            throw new IllegalStateException("the last generation is not in force everywhere");
+        }
+    }
+
+    /** Runs once at rest if nothing was published, and reports since the last report. */
+    private String rates(int engines) {
+        if (instances.getFirst().configInForce().generation().number() == 1) {
+            clear();
+            run(MEASURED_SECONDS * SECOND);
+        }
+        double perEngineSecond = (double) engines * MEASURED_SECONDS;
+        String text =
+                "CPU us/s %.1f  messages/s %.2f  B/s %.0f  object API calls/s %.3f (per engine)"
+                        .formatted(
+                                cpuNanos / 1e3 / perEngineSecond,
+                                messages / perEngineSecond,
+                                bytes / perEngineSecond,
+                                storeCalls / perEngineSecond);
+        clear();
+        return text;
+    }
+
+    private void clear() {
+        messages = 0;
+        bytes = 0;
+        storeCalls = 0;
+        cpuNanos = 0;
+    }
+
+    private static long usedHeap() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    private List<String> parts(long generation) {
+        List<String> texts = new ArrayList<>();
+        for (int first = 0; first < upstreams; first += UPSTREAMS_PER_PART) {
+            StringBuilder text = new StringBuilder(first == 0 ? "generation " + generation : "");
+            for (int i = first; i < Math.min(upstreams, first + UPSTREAMS_PER_PART); i++) {
+                text.append(
+                                "{\"name\":\"service-%d-%d\",\"host\":\"10.0.%d.%d\",\"port\":8080,"
+                                        .formatted(first, i, i >> 8, i & 255))
+                        .append("\"failureDomain\":\"fleuve-1\",\"slots\":2}");
+            }
+            texts.add(text.toString());
+        }
+        return texts;
+    }
+
+    private void publish(long generation) {
+        List<String> digests = new ArrayList<>();
+        for (String text : parts(generation)) {
+            String digest = Codec.INSTANCE.digest(text);
+            digests.add(digest);
+            put(ConfigHead.PART_PREFIX + digest, text);
+        }
+        ConfigHead head = new ConfigHead(new Generation(generation), "w", digests);
+        put(ConfigHead.KEY, Codec.INSTANCE.encodeHead(head));
+    }
+
+    private void put(String key, String value) {
+        objects.put(key, new StoredObject(key, value, ++version));
+    }
+
+    private void add(int index) {
+        InstanceSettings settings =
+                new InstanceSettings(
+                        new InstanceId("instance-" + index),
+                        new FailureDomainId("domain-" + index % (2 * REGIONS)),
+                        new RegionId("region-" + index % REGIONS),
+                        new PeerAddress("10.0.0.1", 1 + index),
+                        1_700_000_000_000L,
+                        CallSettings.DEFAULT,
+                        ControlSettings.DEFAULT.withSeeds(List.of(new PeerAddress("10.0.0.1", 1))),
+                        StopSettings.DEFAULT);
+        instances.add(new Instance(settings, Codec.INSTANCE, index));
+        timers.add(new HashMap<>());
+        after(index * SECOND / 50, () -> handle(index, new Event.Started()));
+    }
+
+    private void handle(int index, Event event) {
+        long began = System.nanoTime();
+        List<Action> actions = instances.get(index).handle(event, now);
+        cpuNanos += System.nanoTime() - began;
+        actions.forEach(action -> carryOut(index, action));
+    }
+
+    private void carryOut(int index, Action action) {
+        switch (action) {
+            case Action.SendPeer a -> {
+                messages++;
+                bytes += PeerCodec.encode(a.message()).length + FrameHandler.PREFIX_BYTES;
+                InstanceId from = new InstanceId("instance-" + index);
+                after(
+                        5_000_000,
+                        () ->
+                                handle(
+                                        a.address().port() - 1,
+                                        new Event.PeerReceived(from, a.message())));
+            }
+            case Action.CallStore a -> {
+                storeCalls++;
+                call(
+                        a.request(),
+                        answer -> handle(index, new Event.StoreAnswered(a.call(), answer)));
+            }
+            case Action.SetTimer a -> {
+                long timer = ++number;
+                timers.get(index).put(a.timer(), timer);
+                after(
+                        a.delayNanos(),
+                        () -> {
+                            if (timers.get(index).get(a.timer()) == timer) {
+                                handle(index, new Event.TimerFired(a.timer()));
+                            }
+                        });
+            }
+            default -> {
+                // Other actions cost nothing here.
+            }
+        }
+    }
+
+    /** Answers a read after 2 ms; a watch polls its object every 50 ms until its wait ends. */
+    private void call(StoreRequest request, Consumer<StoreAnswer> answer) {
+        switch (request) {
+            case StoreRequest.Read r ->
+                    after(2_000_000, () -> answer.accept(found(objects.get(r.key()))));
+            case StoreRequest.Watch w -> watch(w, now + w.waitMillis() * 1_000_000, answer);
+            default -> after(2_000_000, () -> answer.accept(new StoreAnswer.Instances(List.of())));
+        }
+    }
+
+    private void watch(StoreRequest.Watch watch, long endNanos, Consumer<StoreAnswer> answer) {
+        StoredObject object = objects.get(watch.key());
+        if (object.version() != watch.knownVersion()) {
+            after(2_000_000, () -> answer.accept(found(object)));
+        } else if (now >= endNanos) {
+            answer.accept(new StoreAnswer.Unchanged());
+        } else {
+            after(50_000_000, () -> watch(watch, endNanos, answer));
+        }
+    }
+
+    private static StoreAnswer found(StoredObject object) {
+        return new StoreAnswer.Found(object);
+    }
+
+    private void after(long nanos, Runnable action) {
+        tasks.add(new Task(now + nanos, ++number, action));
+    }
+
+    private void run(long nanos) {
+        long end = now + nanos;
+        while (!tasks.isEmpty() && tasks.peek().atNanos <= end) {
+            Task task = tasks.remove();
+            now = task.atNanos;
+            task.action.run();
+        }
+        now = end;
+    }
+
+    /** Text heads and SHA-256 digests; parts are not parsed. */
+    private enum Codec implements ConfigCodec {
+        INSTANCE;
+
+        @Override
+        public Either<ConfigFault, ConfigHead> decodeHead(String text) {
+            String[] fields = text.split("\\|", -1);
+            return Either.right(
+                    new ConfigHead(
+                            new Generation(Long.parseLong(fields[0])),
+                            fields[1],
+                            List.of(fields[2].split(","))));
+        }
+
+        @Override
+        public String encodeHead(ConfigHead head) {
+            return head.generation() + "|w|" + String.join(",", head.digests());
+        }
+
+        @Override
+        public Either<ConfigFault, ConfigSet> decode(ConfigHead head, List<ConfigPart> parts) {
+            return Either.right(ConfigSet.EMPTY.withGeneration(head.generation()));
+        }
+
+        @Override
+        public String digest(String text) {
+            try {
+                MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+                byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+                return HexFormat.of().formatHex(sha256.digest(bytes));
+            } catch (NoSuchAlgorithmException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -13,6 +13,7 @@
 import org.snipeslip.core.call.DecisionRecord;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Instance;
+import org.snipeslip.peer.PeerTransport;
 import org.snipeslip.server.config.ConfigJson;
 import org.snipeslip.server.http.BackendConnections;
 import org.snipeslip.server.http.CallHandler;
@@ -36,6 +37,7 @@
     private final Undertow callerServer;
     private final Undertow operatorServer;
     private final Instance instance;
+    private final PeerTransport peers = new PeerTransport();
 
     /**
      * Starts an instance.
@@ -60,7 +62,8 @@
                 new ObjectApiClient(
                         new HttpMessageClient(worker.getIoThread(), buffers), settings.objectApi());
         InstanceRuntime runtime =
-                new InstanceRuntime(instance, store, timers, EntryProcess::logDecision);
+                new InstanceRuntime(
+                        instance, store, timers, EntryProcess::logDecision, peers::send);
         String requestIdPrefix =
                 settings.instance().id()
                         + "-"
@@ -73,6 +76,15 @@
                         .build();
         operatorServer =
                 server(settings.operatorAddress()).setHandler(this::operatorRequest).build();
+        if (settings.peerKey() == null) {
+            LOG.warn("no peerKey in the settings: this instance has no peers");
+        } else {
+            peers.start(
+                    settings.instance().peerAddress(),
+                    settings.instance().id(),
+                    settings.peerKey(),
+                    (from, message) -> runtime.handle(new Event.PeerReceived(from, message)));
+        }
         callerServer.start();
         operatorServer.start();
         runtime.handle(new Event.Started());
@@ -108,6 +120,7 @@
     public void close() {
         callerServer.stop();
         operatorServer.stop();
+        peers.close();
         timers.shutdownNow();
         worker.shutdownNow();
         buffers.close();
--- a/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,6 +16,8 @@
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Instance;
 import org.snipeslip.core.instance.TimerId;
+import org.snipeslip.core.peer.PeerAddress;
+import org.snipeslip.core.peer.PeerMessage;
 import org.snipeslip.server.http.CallRelay;
 import org.snipeslip.server.store.ObjectApiClient;
 
@@ -26,6 +29,7 @@
     private final ObjectApiClient store;
     private final ScheduledExecutorService timers;
     private final Consumer<DecisionRecord> decisions;
+    private final BiConsumer<PeerAddress, PeerMessage> peers;
     private final Map<RequestId, CallRelay> relays = new ConcurrentHashMap<>();
     private final Map<TimerId, ScheduledFuture<?>> timersByName = new ConcurrentHashMap<>();
 
@@ -36,16 +40,19 @@
      * @param store the object API
      * @param timers runs due timers
      * @param decisions takes decision records; must not block
+     * @param peers sends messages to other instances; must not block
      */
     public InstanceRuntime(
             Instance instance,
             ObjectApiClient store,
             ScheduledExecutorService timers,
-            Consumer<DecisionRecord> decisions) {
+            Consumer<DecisionRecord> decisions,
+            BiConsumer<PeerAddress, PeerMessage> peers) {
         this.instance = instance;
         this.store = store;
         this.timers = timers;
         this.decisions = decisions;
+        this.peers = peers;
     }
 
     /**
@@ -95,7 +102,7 @@
                 case Action.ConfigAdopted a ->
                         LOG.info("configuration generation {} in force", a.config().generation());
                 case Action.FinishStop a -> LOG.info("planned stop done");
-                case Action.SendPeer a -> LOG.debug("no peer transport for {}", a.to());
+                case Action.SendPeer a -> peers.accept(a.address(), a.message());
                 case Action.SendProbe a -> LOG.debug("no probe transport for {}", a.target().id());
             }
         }
--- a/server/src/main/java/org/snipeslip/server/settings/ProcessSettings.java
+++ b/server/src/main/java/org/snipeslip/server/settings/ProcessSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import org.snipeslip.core.instance.InstanceSettings;
+import org.snipeslip.peer.PeerKey;
 
 /**
  * Settings of one entry instance process.
@@ -13,6 +14,7 @@
  * @param objectApi origin of the object API
  * @param ioThreads number of I/O threads
  * @param seed seed of random choices
+ * @param peerKey key shared by all instances, or null for an instance without peers
  */
 public record ProcessSettings(
         InstanceSettings instance,
@@ -20,4 +22,5 @@
         InetSocketAddress operatorAddress,
         URI objectApi,
         int ioThreads,
-        long seed) {}
+        long seed,
+        PeerKey peerKey) {}
--- a/server/src/main/java/org/snipeslip/server/settings/SettingsReader.java
+++ b/server/src/main/java/org/snipeslip/server/settings/SettingsReader.java
@@ -7,6 +7,8 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.snipeslip.core.call.CallSettings;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.InstanceId;
@@ -15,6 +17,7 @@
 import org.snipeslip.core.instance.StopSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
+import org.snipeslip.peer.PeerKey;
 
 /** Reads the YAML settings of a process. */
 public final class SettingsReader {
@@ -41,7 +44,7 @@
                         new PeerAddress(peer.getHostString(), peer.getPort()),
                         incarnation,
                         CallSettings.DEFAULT,
-                        ControlSettings.DEFAULT,
+                        ControlSettings.DEFAULT.withSeeds(seeds(node.path("seeds"))),
                         StopSettings.DEFAULT);
         return new ProcessSettings(
                 instance,
@@ -49,7 +52,17 @@
                 address(node.path("operatorAddress").asText()),
                 URI.create(node.path("objectApi").asText()),
                 node.path("ioThreads").asInt(DEFAULT_IO_THREADS),
-                incarnation);
+                incarnation,
+                node.hasNonNull("peerKey") ? new PeerKey(node.path("peerKey").asText()) : null);
+    }
+
+    private static List<PeerAddress> seeds(JsonNode node) {
+        List<PeerAddress> seeds = new ArrayList<>();
+        for (JsonNode seed : node) {
+            InetSocketAddress address = address(seed.asText());
+            seeds.add(new PeerAddress(address.getHostString(), address.getPort()));
+        }
+        return seeds;
     }
 
     private static InetSocketAddress address(String text) {
--- a/standin/src/main/java/org/snipeslip/standin/Demo.java
+++ b/standin/src/main/java/org/snipeslip/standin/Demo.java
@@ -16,6 +16,7 @@
 import org.snipeslip.core.instance.StopSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
+import org.snipeslip.peer.PeerKey;
 import org.snipeslip.server.config.ConfigJson;
 import org.snipeslip.server.runtime.EntryProcess;
 import org.snipeslip.server.settings.ProcessSettings;
@@ -121,7 +122,8 @@
                         new PeerAddress(HOST, PEER_PORT + index),
                         System.currentTimeMillis(),
                         CallSettings.DEFAULT,
-                        ControlSettings.DEFAULT,
+                        ControlSettings.DEFAULT.withSeeds(
+                                List.of(new PeerAddress(HOST, PEER_PORT))),
                         StopSettings.DEFAULT);
         return new ProcessSettings(
                 instance,
@@ -129,7 +131,8 @@
                 InetSocketAddress.createUnresolved(HOST, OPERATOR_PORT + index),
                 origin(STORE_PORT),
                 1,
-                index);
+                index,
+                new PeerKey("demo-key-of-16-bytes-or-more"));
     }
 
     private static void awaitReady(LoadGenerator load) throws InterruptedException {
