--- a/core/src/main/java/org/snipeslip/core/spread/ControlSettings.java
+++ b/core/src/main/java/org/snipeslip/core/spread/ControlSettings.java
@@ -72,4 +72,24 @@
                 store,
                 newSeeds);
     }
+
+    /**
+     * Returns the same settings with another object API budget.
+     *
+     * @param newStore object API budget
+     * @return the settings
+     */
+    public ControlSettings withStore(StoreSettings newStore) {
+        return new ControlSettings(
+                watchMillis,
+                watchSlackMillis,
+                pollMillis,
+                retryMillis,
+                fetchMillis,
+                readsInFlight,
+                watchersPerRegion,
+                membership,
+                newStore,
+                seeds);
+    }
 }
--- a/peer/src/main/java/org/snipeslip/peer/proto/ClaimRecordOrBuilder.java
+++ b/peer/src/main/java/org/snipeslip/peer/proto/ClaimRecordOrBuilder.java
@@ -65,4 +65,28 @@
    * <code>.snipeslip.peer.Answer answer = 5;</code>
    */
   org.snipeslip.peer.proto.AnswerOrBuilder getAnswerOrBuilder();
+
+  /**
+   * <code>string grantee = 6;</code>
+   * @return The grantee.
+   */
+  java.lang.String getGrantee();
+  /**
+   * <code>string grantee = 6;</code>
+   * @return The bytes for grantee.
+   */
+  com.google.protobuf.ByteString
+      getGranteeBytes();
+
+  /**
+   * <code>int64 incarnation = 7;</code>
+   * @return The incarnation.
+   */
+  long getIncarnation();
+
+  /**
+   * <code>int64 claim = 8;</code>
+   * @return The claim.
+   */
+  long getClaim();
 }
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -14,6 +14,8 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Instance;
+import org.snipeslip.peer.PeerKey;
+import org.snipeslip.peer.PeerTransport;
 import org.snipeslip.server.config.ConfigJson;
 import org.snipeslip.server.http.BackendConnections;
 import org.snipeslip.server.http.CallHandler;
@@ -52,6 +54,7 @@
     private final InstanceRuntime runtime;
     private final CallerListener callerListener;
     private final Undertow operatorServer;
+    private final PeerTransport peers = new PeerTransport();
     private final CountDownLatch stopped = new CountDownLatch(1);
 
     /**
@@ -86,6 +89,7 @@
                         timers,
                         metrics,
                         this::record,
+                        peers::send,
                         this::finishStop);
         registerGauges();
         String requestIdPrefix =
@@ -107,6 +111,7 @@
                                 requestIdPrefix));
         operatorServer = server(settings.operatorAddress(), operatorHandler()).build();
         operatorServer.start();
+        startPeers(settings);
         timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
         runtime.handle(new Event.Started());
     }
@@ -140,6 +145,7 @@
         callerListener.close();
         operatorServer.stop();
         callers.closeAll();
+        peers.close();
         runtime.close();
         timers.close();
         connections.close();
@@ -159,6 +165,18 @@
         stopped.countDown();
     }
 
+    private void startPeers(ProcessSettings settings) {
+        if (settings.peers().key().isEmpty()) {
+            LOG.warn("no peerKey in the settings: this instance has no peers");
+            return;
+        }
+        peers.start(
+                settings.instance().peerAddress(),
+                settings.instance().id(),
+                new PeerKey(settings.peers().key()),
+                (from, message) -> runtime.handle(new Event.PeerReceived(from, message)));
+    }
+
     private HttpHandler operatorHandler() {
         return new OperatorHandler(
                 instance::configInForce,
--- a/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -11,6 +12,8 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Instance;
+import org.snipeslip.core.peer.PeerAddress;
+import org.snipeslip.core.peer.PeerMessage;
 import org.snipeslip.core.store.StoreAnswer;
 import org.snipeslip.server.http.CallEvents;
 import org.snipeslip.server.http.CallRelay;
@@ -29,6 +32,7 @@
     private final Timers timers;
     private final ServerMetrics metrics;
     private final Consumer<DecisionRecord> decisions;
+    private final BiConsumer<PeerAddress, PeerMessage> peers;
     private final Consumer<Action.FinishStop> onFinishStop;
     private final Map<RequestId, CallRelay> relays = new ConcurrentHashMap<>();
     private volatile boolean closed;
@@ -40,6 +44,7 @@
             Timers timers,
             ServerMetrics metrics,
             Consumer<DecisionRecord> decisions,
+            BiConsumer<PeerAddress, PeerMessage> peers,
             Consumer<Action.FinishStop> onFinishStop) {
         this.instance = instance;
         this.store = store;
@@ -47,6 +52,7 @@
         this.timers = timers;
         this.metrics = metrics;
         this.decisions = decisions;
+        this.peers = peers;
         this.onFinishStop = onFinishStop;
     }
 
@@ -91,7 +97,7 @@
                 case Action.ConfigAdopted a ->
                         LOG.info("configuration generation {} in force", a.config().generation());
                 case Action.FinishStop a -> onFinishStop.accept(a);
-                case Action.SendPeer a -> LOG.debug("no peer transport for {}", a.to());
+                case Action.SendPeer a -> peers.accept(a.address(), a.message());
                 case Action.SendProbe a -> probes.send(a);
             }
         }
--- a/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
+++ b/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
@@ -17,6 +17,7 @@
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
 import org.snipeslip.server.runtime.EntryProcess;
+import org.snipeslip.server.settings.PeerSettings;
 import org.snipeslip.server.settings.ProcessSettings;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -35,6 +36,7 @@
     public static final String CHARGE_PATH = "/charges";
 
     private static final String HOST = "127.0.0.1";
+    private static final String PEER_KEY = "embedded-deployment-key-of-32-byte";
     private static final int PORTS_PER_ROLE = 100;
     private static final long READY_WAIT_MILLIS = 20;
 
@@ -154,24 +156,26 @@
     }
 
     private ProcessSettings settings(int index) {
+        List<PeerAddress> seeds = List.of(new PeerAddress(HOST, peerPort(0)));
         InstanceSettings instance =
                 new InstanceSettings(
                         new InstanceId("entry-" + index),
                         new FailureDomainId("fd-" + index % spec.failureDomains()),
                         new RegionId(DeploymentRegions.region(index % spec.failureDomains())),
-                        new PeerAddress(HOST, basePort + 3 * PORTS_PER_ROLE + index),
+                        new PeerAddress(HOST, peerPort(index)),
                         System.currentTimeMillis(),
-                        spec.call(),
-                        ControlSettings.DEFAULT,
+                        spec.call().withInstances(spec.instances()),
+                        ControlSettings.DEFAULT.withSeeds(seeds),
                         OnceSettings.DEFAULT,
                         StopSettings.DEFAULT);
         return new ProcessSettings(
-                instance,
-                InetSocketAddress.createUnresolved(HOST, callerPort(index)),
-                InetSocketAddress.createUnresolved(HOST, operatorPort(index)),
-                origin(basePort),
-                1,
-                index);
+                        instance,
+                        InetSocketAddress.createUnresolved(HOST, callerPort(index)),
+                        InetSocketAddress.createUnresolved(HOST, operatorPort(index)),
+                        origin(basePort),
+                        1,
+                        index)
+                .withPeers(new PeerSettings(PEER_KEY, seeds));
     }
 
     private void awaitReady() throws InterruptedException {
@@ -188,6 +192,10 @@
         return basePort + 2 * PORTS_PER_ROLE + index;
     }
 
+    private int peerPort(int index) {
+        return basePort + 3 * PORTS_PER_ROLE + index;
+    }
+
     private int operatorPort(int index) {
         return basePort + 2 * PORTS_PER_ROLE + PORTS_PER_ROLE / 2 + index;
     }
