--- a/cli/src/main/java/org/snipeslip/cli/Main.java
+++ b/cli/src/main/java/org/snipeslip/cli/Main.java
@@ -9,6 +9,7 @@
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 import org.snipeslip.server.runtime.EntryProcess;
+import org.snipeslip.server.runtime.StopSignals;
 import org.snipeslip.server.settings.SettingsReader;
 import org.snipeslip.standin.BackendServerStandIn;
 import org.snipeslip.standin.Demo;
@@ -73,7 +74,8 @@
         Path path = Path.of(options.valueOf(file));
         try (EntryProcess process =
                 new EntryProcess(new SettingsReader().read(path, System.currentTimeMillis()))) {
-            new CountDownLatch(1).await();
+            StopSignals.onTerminate(process::requestStop);
+            process.awaitStop();
         }
         return EXIT_OK;
     }
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -58,6 +58,11 @@
                             public void broken() {
                                 requestBroken();
                             }
+
+                            @Override
+                            public void consumed() {
+                                fail(TryFailure.REQUEST_BODY_BROKEN, LoadReport.UNKNOWN);
+                            }
                         });
     }
 
--- a/server/src/main/java/org/snipeslip/server/http/CallerConnections.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallerConnections.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
@@ -25,6 +26,7 @@
     private static final Runnable NOTHING = () -> {};
 
     private final Set<State> open = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger openCalls = new AtomicInteger();
     private volatile boolean leaving;
 
     /** Announces the end of the connection on every response from now on. */
@@ -50,6 +52,31 @@
         return open.size();
     }
 
+    /**
+     * Waits until every caller has its whole answer.
+     *
+     * @param limitMillis time limit in milliseconds
+     */
+    public synchronized void awaitAnswers(long limitMillis) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
+        long leftNanos;
+        try {
+            while (openCalls.get() > 0 && (leftNanos = endNanos - System.nanoTime()) > 0) {
+                TimeUnit.NANOSECONDS.timedWait(this, leftNanos);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void callEnded() {
+        if (openCalls.decrementAndGet() == 0 && leaving) {
+            synchronized (this) {
+                notifyAll();
+            }
+        }
+    }
+
     /** Closes the connections on which no call is open. */
     public void closeIdle() {
         closeIf(state -> !state.busy);
@@ -99,12 +126,14 @@
         State known = connection.getAttachment(STATE);
         State state = known == null ? add(connection) : known;
         state.busy = true;
+        openCalls.incrementAndGet();
         exchange.addExchangeCompleteListener(
                 (done, next) -> {
                     state.busy = false;
                     state.onClosed = NOTHING;
                     expectHead(done);
                     next.proceed();
+                    callEnded();
                 });
         return state;
     }
--- a/server/src/main/java/org/snipeslip/server/http/CallerListener.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallerListener.java
@@ -73,6 +73,7 @@
     /** Stops accepting; open connections go on. */
     @Override
     public void close() {
+        acceptor.suspendAccepts();
         IoUtils.safeClose(acceptor);
     }
 
--- a/server/src/main/java/org/snipeslip/server/http/RequestBody.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestBody.java
@@ -87,7 +87,7 @@
             waiting.add(listener);
             readWhole();
         } else if (present && keptBytes == 0 && streamed) {
-            listener.broken();
+            listener.consumed();
         } else {
             listener.ready();
         }
@@ -164,6 +164,10 @@
     interface Listener {
         void ready();
 
+        /** The caller left or sent a malformed body. */
         void broken();
+
+        /** An earlier try streamed the body, so it cannot be sent again. */
+        void consumed();
     }
 }
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -40,6 +40,9 @@
     private static final long IDLE_SWEEP_MILLIS = 10_000;
     private static final long WORKER_STOP_SECONDS = 2;
 
+    /** Time for refusals that the stop gave to open calls to reach their callers. */
+    private static final long ANSWERS_MILLIS = 500;
+
     private final XnioWorker worker;
     private final Timers timers = new Timers();
     private final ByteBufferPool buffers;
@@ -111,10 +114,17 @@
         runtime.handle(new Event.Started());
     }
 
-    /** Begins the planned stop: not ready, and no further request on open connections. */
+    /**
+     * Begins the planned stop: not ready, and no further request on open connections. A second
+     * request ends the stop at once.
+     */
     public void requestStop() {
+        boolean second = callers.isLeaving();
         callers.leave();
         runtime.handle(new Event.StopRequested());
+        if (second) {
+            stopped.countDown();
+        }
     }
 
     /**
@@ -130,6 +140,8 @@
     public void close() {
         callerListener.close();
         operatorServer.stop();
+        callers.leave();
+        callers.awaitAnswers(ANSWERS_MILLIS);
         callers.closeAll();
         runtime.close();
         timers.close();
@@ -146,7 +158,6 @@
 
     private void finishStop(Action.FinishStop action) {
         LOG.info("planned stop done, {} calls open", action.openCalls());
-        callers.closeIdle();
         stopped.countDown();
     }
 
