--- a/core/src/test/java/org/snipeslip/core/once/OnceEngineTest.java
+++ b/core/src/test/java/org/snipeslip/core/once/OnceEngineTest.java
@@ -171,6 +171,30 @@
         assertThat(world.decisions.get(duplicate)).isInstanceOf(ClaimDecision.Refused.class);
     }
 
+    /** Guards against a taker that does not wait for the lease of an owner that says "not run". */
+    @Test
+    void pausedOwnerSaysNothingOfKeysGrantedByTheNext() {
+        OnceWorld world = world(settings(1_000, 256, SEGMENT_BYTES));
+        OnceNode old = first(world);
+        grantedAndAnswered(world, old, "k0", HomeRegions.ANY);
+        old.paused = true;
+        OnceNode next = world.add("b", OnceWorld.NEAR);
+        world.showView(next, old);
+        int number = 0;
+        RequestId granted;
+        do {
+            number++;
+            granted = world.submit(next, "k" + number, HomeRegions.ANY);
+            world.runFor(500);
+        } while (number < 20 && world.decisions.get(granted) instanceof ClaimDecision.Refused);
+        assertThat(world.decisions.get(granted)).isInstanceOf(ClaimDecision.Granted.class);
+        world.apiFaults = DOWN;
+        world.resume(old);
+        RequestId duplicate = world.submit(old, "k" + number, HomeRegions.ANY);
+        world.runFor(2_500);
+        assertRefused(world, duplicate, RefusalReason.ONCE_UNAVAILABLE, Outcome.UNKNOWN);
+    }
+
     /** Guards against an owner in memory that grants keys after another one replaced it. */
     @Test
     void replacedBoundOwnerGrantsNothing() {
