--- a/core/src/main/java/org/snipeslip/core/spread/ConfigFollower.java
+++ b/core/src/main/java/org/snipeslip/core/spread/ConfigFollower.java
@@ -160,16 +160,15 @@
     }
 
     private void headRead(StoreAnswer answer, long nowNanos, Outbox outbox) {
-        boolean failed = true;
+        boolean failed = answer instanceof StoreAnswer.Failed;
         if (answer instanceof StoreAnswer.Found found) {
+            // The version counts as read even if the head cannot be decoded, so that a watch waits
+            // for a later one.
+            headReader.read(found.object().version());
             Either<ConfigFault, ConfigHead> decoded = codec.decodeHead(found.object().value());
-            if (decoded.isRight()) {
-                failed = false;
-                headReader.read(found.object().version());
-                headFound(decoded.get(), nowNanos, outbox);
-            }
-        } else if (answer instanceof StoreAnswer.Unchanged) {
-            failed = false;
+            decoded.forEach(head -> headFound(head, nowNanos, outbox));
+        } else if (answer instanceof StoreAnswer.Absent) {
+            headReader.reread();
         }
         if (failed) {
             askPeersAtStart(outbox);
--- a/core/src/main/java/org/snipeslip/core/spread/HeadReader.java
+++ b/core/src/main/java/org/snipeslip/core/spread/HeadReader.java
@@ -64,7 +64,7 @@
     void next(boolean failed, boolean isUrgent, long nowNanos, Outbox outbox) {
         if (isWatcher && !failed) {
             call(nowNanos, outbox);
-        } else if (isWatcher || isUrgent) {
+        } else if (failed && (isWatcher || isUrgent)) {
             wakeAfter(jittered(settings.retryMillis()), nowNanos, outbox);
         } else {
             wakeAfter(jittered(settings.pollMillis()), nowNanos, outbox);
--- a/core/src/test/java/org/snipeslip/core/spread/ControlModelTest.java
+++ b/core/src/test/java/org/snipeslip/core/spread/ControlModelTest.java
@@ -76,6 +76,28 @@
         checkGeneration(world, 2);
     }
 
+    /** Guards against instances that call in a loop while there is no usable configuration. */
+    @Property(tries = 20, seed = "20261210")
+    void callsRarelyWithoutAUsableConfiguration(@ForAll long seed) {
+        ControlWorld world = new ControlWorld(seed, REGIONS, 4);
+        world.start();
+        world.time.run(20_000);
+        checkCallsOfAMinute(world);
+        world.store.publish(1, List.of("g1", TextCodec.UNDECODABLE));
+        checkCallsOfAMinute(world);
+        checkGeneration(world, 0);
+        publish(world, 2);
+        world.time.run(SPREAD_MILLIS);
+        checkGeneration(world, 2);
+    }
+
+    /** A watch every 1.5 s, other reads every 30 s: below one call a second and instance. */
+    private static void checkCallsOfAMinute(ControlWorld world) {
+        long before = world.store.calls;
+        world.time.run(60_000);
+        assertThat(world.store.calls - before).isLessThan(60L * world.nodes.size());
+    }
+
     /** Guards against instances that learn a generation by announcements or polls only. */
     @Property(tries = 20, seed = "20261209")
     void gossipRepairsLostAnnouncements(@ForAll long seed) {
--- a/core/src/test/java/org/snipeslip/core/spread/FakeStore.java
+++ b/core/src/test/java/org/snipeslip/core/spread/FakeStore.java
@@ -29,6 +29,7 @@
 
     final List<ListedInstance> instances = new ArrayList<>();
     Mode mode = Mode.UP;
+    long calls;
     private final VirtualTime time;
     private final Random random;
     private final TextCodec codec = new TextCodec();
@@ -63,6 +64,7 @@
     }
 
     void call(StoreRequest request, boolean reachable, Consumer<StoreAnswer> answer) {
+        calls++;
         long waitMillis = request instanceof StoreRequest.Watch w ? w.waitMillis() : 0;
         boolean lost = mode == Mode.LOSING && random.nextInt(3) == 0;
         if (mode == Mode.SILENT || lost || !reachable) {
--- a/peer/src/test/java/org/snipeslip/peer/ControlCost.java
+++ b/peer/src/test/java/org/snipeslip/peer/ControlCost.java
@@ -29,6 +29,7 @@
 import org.snipeslip.core.instance.StopSettings;
 import org.snipeslip.core.instance.TimerId;
 import org.snipeslip.core.peer.PeerAddress;
+import org.snipeslip.core.peer.PeerMessage;
 import org.snipeslip.core.spread.ControlSettings;
 import org.snipeslip.core.store.StoreAnswer;
 import org.snipeslip.core.store.StoreRequest;
@@ -198,18 +199,27 @@
         actions.forEach(action -> carryOut(index, action));
     }
 
+    private void deliver(InstanceId from, int index, byte[] frame) {
+        try {
+            long began = System.nanoTime();
+            PeerMessage message = PeerCodec.decode(PeerCodec.parse(frame));
+            cpuNanos += System.nanoTime() - began;
+            handle(index, new Event.PeerReceived(from, message));
+        } catch (MalformedFrameException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private void carryOut(int index, Action action) {
         switch (action) {
             case Action.SendPeer a -> {
                 messages++;
-                bytes += PeerCodec.encode(a.message()).length + FrameHandler.PREFIX_BYTES;
+                long began = System.nanoTime();
+                byte[] frame = PeerCodec.encode(a.message());
+                cpuNanos += System.nanoTime() - began;
+                bytes += frame.length + FrameHandler.PREFIX_BYTES;
                 InstanceId from = new InstanceId("instance-" + index);
-                after(
-                        5_000_000,
-                        () ->
-                                handle(
-                                        a.address().port() - 1,
-                                        new Event.PeerReceived(from, a.message())));
+                after(5_000_000, () -> deliver(from, a.address().port() - 1, frame));
             }
             case Action.CallStore a -> {
                 storeCalls++;
@@ -256,7 +266,9 @@
     }
 
     private static StoreAnswer found(StoredObject object) {
-        return new StoreAnswer.Found(object);
+        // A copy, because each process holds its own text.
+        String text = new String(object.value().toCharArray());
+        return new StoreAnswer.Found(new StoredObject(object.key(), text, object.version()));
     }
 
     private void after(long nanos, Runnable action) {
