Show members, store budget and peer traffic on the operator port

Cause: operators had no view of member states and generation lag.

Change: GET /members on the operator port. A model test starts an instance from its peers while the object API is down, with 300 parts of 6 KB to 8 KB, so that parts need several messages.

--- a/core/src/test/java/org/snipeslip/core/spread/ControlModelTest.java
+++ b/core/src/test/java/org/snipeslip/core/spread/ControlModelTest.java
@@ -98,6 +98,28 @@
         assertThat(world.store.calls - before).isLessThan(60L * world.nodes.size());
     }
 
+    /** Guards against a new instance that stays empty, or messages too large, in an outage. */
+    @Property(tries = 20, seed = "20261211")
+    void startsFromPeersWhileTheObjectApiIsDown(@ForAll long seed, @ForAll boolean isSilent) {
+        ControlWorld world = new ControlWorld(seed, REGIONS, 4);
+        List<String> parts = new ArrayList<>(List.of("g1"));
+        for (int i = 0; i < 300; i++) {
+            parts.add(("part" + i + ".").repeat(1_000));
+        }
+        world.store.publish(1, parts);
+        world.start();
+        world.time.run(40_000);
+        checkGeneration(world, 1);
+        world.store.mode = isSilent ? FakeStore.Mode.SILENT : FakeStore.Mode.REFUSING;
+        world.store.breakWatches();
+        ControlWorld.Node node = world.nodes.get(world.random.nextInt(world.nodes.size()));
+        node.stop();
+        world.time.run(world.random.nextInt(30_000));
+        node.start();
+        world.time.run(REPAIR_MILLIS);
+        checkGeneration(world, 1);
+    }
+
     /** Guards against instances that learn a generation by announcements or polls only. */
     @Property(tries = 20, seed = "20261209")
     void gossipRepairsLostAnnouncements(@ForAll long seed) {
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/runtime/ControlReport.java
@@ -0,0 +1,38 @@
+package org.snipeslip.server.runtime;
+
+import org.snipeslip.core.instance.Instance;
+import org.snipeslip.core.peer.MemberUpdate;
+import org.snipeslip.core.store.StoreGate;
+import org.snipeslip.peer.PeerCounters;
+import org.snipeslip.peer.PeerTransport;
+
+/** Writes members, configuration, object API budget and peer traffic for operators. */
+final class ControlReport {
+    private ControlReport() {}
+
+    /** Returns one fact a line. */
+    static String text(Instance instance, PeerTransport transport) {
+        StringBuilder text = new StringBuilder();
+        for (MemberUpdate member : instance.control().members().members()) {
+            text.append("member ").append(member.id());
+            text.append(' ').append(member.status());
+            text.append(" incarnation ").append(member.incarnation());
+            text.append(" region ").append(member.region());
+            text.append(" address ").append(member.address()).append('\n');
+        }
+        StoreGate gate = instance.storeGate();
+        PeerCounters counters = transport.counters();
+        text.append("generation ").append(instance.configInForce().generation());
+        text.append(" watcher ").append(instance.control().isWatcher()).append('\n');
+        text.append("object-api failures ").append(gate.consecutiveFailures());
+        text.append(" in-flight ").append(gate.callsInFlight());
+        text.append(" waiting ").append(gate.waitingCalls()).append('\n');
+        text.append("peers messages-in ").append(counters.messagesIn());
+        text.append(" messages-out ").append(counters.messagesOut());
+        text.append(" bytes-in ").append(counters.bytesIn());
+        text.append(" bytes-out ").append(counters.bytesOut());
+        text.append(" dropped ").append(counters.dropped());
+        text.append(" refused-frames ").append(counters.refusedFrames()).append('\n');
+        return text.toString();
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -108,6 +108,8 @@
                 exchange.getResponseSender()
                         .send("generation " + instance.configInForce().generation() + "\n");
             }
+            case "/members" ->
+                    exchange.getResponseSender().send(ControlReport.text(instance, peers));
             default -> exchange.setStatusCode(404).endExchange();
         }
     }
