--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -190,7 +190,8 @@
                 this::isReady,
                 metrics,
                 recent,
-                connections::openConnections);
+                connections::openConnections,
+                () -> ControlReport.text(instance, peers));
     }
 
     private void registerGauges() {
