Let reads of parts finish when the object API is slow or the budget small

Cause: after 250 ms without a part the follower gave up its reads and began them anew. With an object API slower than that, or with a small call budget, an instance without peers never completed a configuration, and the abandoned reads used the budget up.

Change: reads in flight go on and their answers count; a wanted head is dropped only when no read is in flight and twelve sources in a row sent nothing.

Tests: ControlModelTest.keepsASmallBudgetAtTheStart found the fault and was red before the change: generation 0 after 60 s. announcesAPlannedStopAtOnce is new. With the token comparison of StoreGate removed, keepsASmallBudgetAtTheStart and startsFromPeersWhileTheObjectApiIsDown are red as well.

--- a/core/src/main/java/org/snipeslip/core/spread/ConfigFollower.java
+++ b/core/src/main/java/org/snipeslip/core/spread/ConfigFollower.java
@@ -223,6 +223,7 @@
             progress |= assembly.put(part);
         }
         if (progress) {
+            attempts = 0;
             collect(nowNanos, outbox);
         }
     }
@@ -230,6 +231,7 @@
     private void partRead(String digest, StoreAnswer answer, long nowNanos, Outbox outbox) {
         if (answer instanceof StoreAnswer.Found found
                 && assembly.put(new ConfigPart(digest, found.object().value()))) {
+            attempts = 0;
             collect(nowNanos, outbox);
         }
     }
@@ -289,13 +291,12 @@
                 askHead(peer, peers.of(peer.id()), nowNanos, outbox);
                 attempts = tried;
             }
-        } else if (++attempts > MAX_ATTEMPTS) {
+        } else if (++attempts > MAX_ATTEMPTS && !partReader.isBusy()) {
             assembly.drop();
-            partReader.giveUp();
             headReader.reread();
             headAsked = Generation.NONE;
         } else {
-            partReader.giveUp();
+            // Reads in flight go on: a slow object API would never finish if they began anew.
             List<MemberUpdate> having = peers.having(target);
             source = having.isEmpty() || attempts % 2 == 0 ? null : pick(having).id();
             collect(nowNanos, outbox);
--- a/core/src/main/java/org/snipeslip/core/spread/PartReader.java
+++ b/core/src/main/java/org/snipeslip/core/spread/PartReader.java
@@ -43,6 +43,11 @@
         return digestsByCall.remove(call);
     }
 
+    /** Tells whether calls are in flight; each of them ends, at the latest by a timeout. */
+    boolean isBusy() {
+        return !digestsByCall.isEmpty();
+    }
+
     /** Gives up the calls in flight; their answers are ignored. */
     void giveUp() {
         digestsByCall.clear();
--- a/core/src/test/java/org/snipeslip/core/spread/ControlModelTest.java
+++ b/core/src/test/java/org/snipeslip/core/spread/ControlModelTest.java
@@ -1,6 +1,7 @@
 package org.snipeslip.core.spread;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.snipeslip.core.peer.MemberStatus.LEAVING;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +9,9 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.peer.MemberStatus;
+import org.snipeslip.core.store.StoreSettings;
 
 /** Model of several instances under faults: configuration spread, membership and call budget. */
 class ControlModelTest {
@@ -120,6 +123,49 @@
         checkGeneration(world, 1);
     }
 
+    /** Guards against work given to an instance that stops, and a watch that stays with it. */
+    @Property(tries = 20, seed = "20261212")
+    void announcesAPlannedStopAtOnce(@ForAll long seed) {
+        ControlWorld world = started(seed);
+        ControlWorld.Node leaving = world.nodes.get(world.random.nextInt(world.nodes.size()));
+        leaving.handle(new Event.StopRequested());
+        world.time.run(SPREAD_MILLIS);
+        for (ControlWorld.Node node : world.live()) {
+            assertThat(node.statusOf(leaving)).as("seen by " + node.id).isEqualTo(LEAVING);
+        }
+        assertThat(leaving.instance.control().isWatcher()).isFalse();
+        for (int region = 0; region < REGIONS; region++) {
+            String name = "r" + region;
+            assertThat(world.live())
+                    .filteredOn(n -> n.region.equals(name) && n.instance.control().isWatcher())
+                    .hasSize(2);
+        }
+    }
+
+    /** Guards against a start with many parts that exceeds a small object API budget. */
+    @Property(tries = 10, seed = "20261213")
+    void keepsASmallBudgetAtTheStart(@ForAll long seed) {
+        StoreSettings budget = new StoreSettings(5, 5, 3, 32, 5_000, 50, 1_500, 500);
+        ControlSettings normal = ControlSettings.DEFAULT;
+        ControlSettings small =
+                new ControlSettings(
+                        normal.watchMillis(),
+                        normal.watchSlackMillis(),
+                        normal.pollMillis(),
+                        normal.retryMillis(),
+                        normal.fetchMillis(),
+                        normal.readsInFlight(),
+                        normal.watchersPerRegion(),
+                        normal.membership(),
+                        budget,
+                        List.of());
+        ControlWorld world = new ControlWorld(seed, REGIONS, 2, small);
+        publish(world, 1);
+        world.start();
+        world.time.run(SETTLE_MILLIS);
+        checkGeneration(world, 1);
+    }
+
     /** Guards against instances that learn a generation by announcements or polls only. */
     @Property(tries = 20, seed = "20261209")
     void gossipRepairsLostAnnouncements(@ForAll long seed) {
