--- a/core/src/test/java/org/snipeslip/core/call/CallEnginePropertyTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/CallEnginePropertyTest.java
@@ -71,7 +71,7 @@
         return values;
     }
 
-    private static void checkCall(FakeFleet.FakeCall call) {
+    private static void checkCall(FakeCall call) {
         if (!call.head.method().equals("GET")) {
             assertThat(call.started).as("executions of %s", call.request).isLessThanOrEqualTo(1);
         }
--- a/core/src/test/java/org/snipeslip/core/call/EngineMirror.java
+++ b/core/src/test/java/org/snipeslip/core/call/EngineMirror.java
@@ -50,10 +50,10 @@
         }
     }
 
-    void before(Event event, Map<TryId, FakeFleet.FakeTry> tries) {
+    void before(Event event, Map<TryId, FakeTry> tries) {
         switch (event) {
             case Event.TryAnswered e -> {
-                FakeFleet.FakeTry each = tries.get(e.tryId());
+                FakeTry each = tries.get(e.tryId());
                 if (inFlight(each).contains(e.tryId())) {
                     report(each.order.target().id(), e.load());
                     if (e.status() < 500) {
@@ -63,7 +63,7 @@
             }
             case Event.TryCompleted e -> inFlight(tries.get(e.tryId())).remove(e.tryId());
             case Event.TryFailed e -> {
-                FakeFleet.FakeTry each = tries.get(e.tryId());
+                FakeTry each = tries.get(e.tryId());
                 if (inFlight(each).remove(e.tryId())) {
                     report(each.order.target().id(), e.load());
                 }
@@ -75,11 +75,11 @@
         }
     }
 
-    void cancelled(FakeFleet.FakeTry each) {
+    void cancelled(FakeTry each) {
         inFlight(each).remove(each.order.tryId());
     }
 
-    void sending(Action.SendTry order, FakeFleet.FakeCall call, ConfigSet config) {
+    void sending(Action.SendTry order, FakeCall call, ConfigSet config) {
         BackendServer target = order.target();
         FailureDomain domain = config.failureDomains().get(target.failureDomain());
         assertThat(domain.inService()).as("failure domain in service").isTrue();
@@ -105,7 +105,7 @@
                 .add(nowNanos);
     }
 
-    private Set<TryId> inFlight(FakeFleet.FakeTry each) {
+    private Set<TryId> inFlight(FakeTry each) {
         return inFlight.computeIfAbsent(each.order.target().id(), id -> new HashSet<>());
     }
 
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/call/FakeCall.java
@@ -0,0 +1,33 @@
+package org.snipeslip.core.call;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.RequestId;
+
+/** What happened to a call. */
+final class FakeCall {
+    final RequestId request;
+    final int engine;
+    final CallHead head;
+    final long arrivedNanos;
+    final Set<BackendServerId> triedAt = new HashSet<>();
+    final List<Object> ends = new ArrayList<>();
+    Refusal refusal;
+    long relayedNanos;
+    boolean granted;
+    boolean gone;
+    int finals;
+    int sent;
+    int started;
+    int records;
+
+    FakeCall(RequestId request, int engine, CallHead head, long arrivedNanos) {
+        this.request = request;
+        this.engine = engine;
+        this.head = head;
+        this.arrivedNanos = arrivedNanos;
+    }
+}
--- a/core/src/test/java/org/snipeslip/core/call/FakeFleet.java
+++ b/core/src/test/java/org/snipeslip/core/call/FakeFleet.java
@@ -1,16 +1,10 @@
 package org.snipeslip.core.call;
 
-import static org.assertj.core.api.Assertions.assertThat;
-
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.id.BackendServerId;
@@ -28,9 +22,8 @@
 import org.snipeslip.core.once.ClaimRequest;
 
 /** Call engines and backend servers in virtual time. Late events of cancelled tries do arrive. */
-final class FakeFleet {
+class FakeFleet extends VirtualTime {
     static final long MILLI = 1_000_000;
-    private static final int MAX_AT_ONCE = 10_000;
     private static final double MEAN_SERVICE_NANOS = 2.0 * MILLI;
 
     final List<CallEngine> engines = new ArrayList<>();
@@ -40,17 +33,14 @@
     final SplittableRandom random;
     ConfigSet config = ConfigSet.EMPTY;
     double claimRefusalRate;
-    long nowNanos;
     int probes;
     int extraTries;
     int failedFast;
 
     private final List<FailureDomainId> domains = new ArrayList<>();
-    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
     private final Map<TryId, FakeTry> tries = new HashMap<>();
     private final Map<String, Long> timers = new HashMap<>();
-    private long sequence;
-    private int tasksAtOnce;
+    private long timersSet;
 
     FakeFleet(CallSettings settings, int instances, long seed, String... engineDomains) {
         random = new SplittableRandom(seed);
@@ -92,44 +82,6 @@
         handle(call.engine, new Event.CallerGone(call.request));
     }
 
-    void runFor(long nanos) {
-        long end = nowNanos + nanos;
-        while (!tasks.isEmpty() && tasks.peek().atNanos <= end) {
-            Task task = tasks.poll();
-            tasksAtOnce = task.atNanos > nowNanos ? 0 : tasksAtOnce + 1;
-            assertThat(tasksAtOnce).as("events without progress of time").isLessThan(MAX_AT_ONCE);
-            nowNanos = Math.max(nowNanos, task.atNanos);
-            task.work.run();
-        }
-        nowNanos = end;
-    }
-
-    /** Open-loop arrivals at exponential gaps to random engines. */
-    void load(double callsPerSecond, long nanos, List<CallHead> mix) {
-        long end = nowNanos + nanos;
-        while (true) {
-            long gap = (long) (-Math.log(1 - random.nextDouble()) * 1e9 / callsPerSecond);
-            if (nowNanos + gap >= end) {
-                runFor(end - nowNanos);
-                return;
-            }
-            runFor(gap);
-            arrive(random.nextInt(engines.size()), mix.get(random.nextInt(mix.size())));
-        }
-    }
-
-    /** Latency of the relayed calls that arrived since a time, in milliseconds. */
-    double latencyMillis(double quantile, long sinceNanos, String path) {
-        long[] sorted =
-                calls.values().stream()
-                        .filter(c -> c.arrivedNanos >= sinceNanos && c.head.path().equals(path))
-                        .filter(c -> c.relayedNanos > 0)
-                        .mapToLong(c -> c.relayedNanos - c.arrivedNanos)
-                        .toArray();
-        Arrays.sort(sorted);
-        return sorted.length == 0 ? 0 : sorted[(int) (quantile * (sorted.length - 1))] / 1e6;
-    }
-
     private void handle(int engine, Event event) {
         mirrors.get(engine).before(event, tries);
         Outbox outbox = new Outbox();
@@ -186,7 +138,7 @@
     }
 
     private void setTimer(int engine, TimerId timer, long delayNanos) {
-        long mine = ++sequence;
+        long mine = ++timersSet;
         timers.put(engine + timer.key(), mine);
         later(
                 delayNanos,
@@ -304,59 +256,4 @@
             handle(each.engine, new Event.TryFailed(each.order.tryId(), failure, report));
         }
     }
-
-    private void later(long delayNanos, Runnable work) {
-        tasks.add(new Task(nowNanos + delayNanos, ++sequence, work));
-    }
-
-    private record Task(long atNanos, long sequence, Runnable work) implements Comparable<Task> {
-        @Override
-        public int compareTo(Task other) {
-            int byTime = Long.compare(atNanos, other.atNanos);
-            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
-        }
-    }
-
-    /** A try as the shell holds it. */
-    static final class FakeTry {
-        final int engine;
-        final Action.SendTry order;
-        final FakeCall call;
-        final FakeServer server;
-        boolean cancelled;
-        boolean answered;
-        boolean ended;
-
-        FakeTry(int engine, Action.SendTry order, FakeCall call, FakeServer server) {
-            this.engine = engine;
-            this.order = order;
-            this.call = call;
-            this.server = server;
-        }
-    }
-
-    /** What happened to a call. */
-    static final class FakeCall {
-        final RequestId request;
-        final int engine;
-        final CallHead head;
-        final long arrivedNanos;
-        final Set<BackendServerId> triedAt = new HashSet<>();
-        final List<Object> ends = new ArrayList<>();
-        Refusal refusal;
-        long relayedNanos;
-        boolean granted;
-        boolean gone;
-        int finals;
-        int sent;
-        int started;
-        int records;
-
-        FakeCall(RequestId request, int engine, CallHead head, long arrivedNanos) {
-            this.request = request;
-            this.engine = engine;
-            this.head = head;
-            this.arrivedNanos = arrivedNanos;
-        }
-    }
 }
--- a/core/src/test/java/org/snipeslip/core/call/FakeServer.java
+++ b/core/src/test/java/org/snipeslip/core/call/FakeServer.java
@@ -8,7 +8,7 @@
     private static final int QUEUE_PER_SLOT = 8;
 
     final BackendServer config;
-    final ArrayDeque<FakeFleet.FakeTry> queue = new ArrayDeque<>();
+    final ArrayDeque<FakeTry> queue = new ArrayDeque<>();
     double slowFactor = 1;
     double breakRate;
     boolean down;
--- a/core/src/test/java/org/snipeslip/core/call/PolicyComparison.java
+++ b/core/src/test/java/org/snipeslip/core/call/PolicyComparison.java
@@ -41,10 +41,10 @@
     }
 
     private static void compare(
-            String name, double utilisation, java.util.function.Consumer<FakeFleet> fault) {
+            String name, double utilisation, java.util.function.Consumer<LoadedFleet> fault) {
         System.out.printf("%s%n", name);
         for (PolicyName policy : PolicyName.values()) {
-            FakeFleet fleet = fleet(policy, "a1", "a2");
+            LoadedFleet fleet = fleet(policy, "a1", "a2");
             double rate = utilisation * CAPACITY_PER_SECOND;
             fleet.load(rate, 1_000 * MILLI, List.of(Fleets.get("/free", null)));
             fault.accept(fleet);
@@ -54,15 +54,15 @@
         }
     }
 
-    static FakeFleet fleet(PolicyName policy, String... domains) {
+    static LoadedFleet fleet(PolicyName policy, String... domains) {
         CallSettings settings = CallSettings.DEFAULT.withInstances(INSTANCES).withPolicy(policy);
-        FakeFleet fleet = new FakeFleet(settings, INSTANCES, 7, domains);
+        LoadedFleet fleet = new LoadedFleet(settings, INSTANCES, 7, domains);
         fleet.configure(
                 Fleets.config(1, Fleets.servers(SERVERS, SLOTS, domains), java.util.Set.of()));
         return fleet;
     }
 
-    private static void print(FakeFleet fleet, String label, long since) {
+    private static void print(LoadedFleet fleet, String label, long since) {
         long refused =
                 fleet.calls.values().stream()
                         .filter(c -> c.arrivedNanos >= since && c.refusal != null)
--- a/core/src/test/java/org/snipeslip/core/call/RandomSchedule.java
+++ b/core/src/test/java/org/snipeslip/core/call/RandomSchedule.java
@@ -77,7 +77,7 @@
     }
 
     private void leave() {
-        List<FakeFleet.FakeCall> open =
+        List<FakeCall> open =
                 fleet.calls.values().stream().filter(c -> !c.gone && c.finals == 0).toList();
         if (!open.isEmpty()) {
             fleet.callerGone(open.get(random.nextInt(open.size())));
--- a/core/src/test/java/org/snipeslip/core/call/ScenarioTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/ScenarioTest.java
@@ -21,7 +21,7 @@
     /** Guards against a straggler that keeps getting calls: its share must collapse. */
     @Test
     void stragglerLosesItsShare() {
-        FakeFleet fleet = warm(0.7);
+        LoadedFleet fleet = warm(0.7);
         fleet.server("s0").slowFactor = 20;
         fleet.load(0.7 * CAPACITY_PER_SECOND, 200 * MILLI, INTERACTIVE);
         long before = servedBy(fleet, "s0");
@@ -35,7 +35,7 @@
     /** Guards against a server that fails fast and therefore looks idle attracting calls. */
     @Test
     void failFastServerAttractsNoCalls() {
-        FakeFleet fleet = warm(0.7);
+        LoadedFleet fleet = warm(0.7);
         fleet.server("s0").failsFast = true;
         long since = fleet.nowNanos;
         fleet.load(0.7 * CAPACITY_PER_SECOND, 2_000 * MILLI, INTERACTIVE);
@@ -51,7 +51,7 @@
     /** Guards against crushing a server that became cold without notice. */
     @Test
     void serverGoneColdIsRelieved() {
-        FakeFleet fleet = warm(0.7);
+        LoadedFleet fleet = warm(0.7);
         FakeServer cold = fleet.server("s0");
         cold.cold = true;
         fleet.load(0.7 * CAPACITY_PER_SECOND, 300 * MILLI, INTERACTIVE);
@@ -63,7 +63,7 @@
     /** Guards against failed interactive calls and lasting delay when a failure domain leaves. */
     @Test
     void failureDomainLeavesAndReturns() {
-        FakeFleet fleet = warm(0.5);
+        LoadedFleet fleet = warm(0.5);
         double rate = 0.5 * CAPACITY_PER_SECOND;
         long start = fleet.nowNanos;
         fleet.load(rate, 1_000 * MILLI, INTERACTIVE);
@@ -86,7 +86,7 @@
     /** Guards against batch calls delaying interactive ones, and against lost capacity. */
     @Test
     void overloadWithBatchKeepsInteractiveFast() {
-        FakeFleet fleet = warm(0.85);
+        LoadedFleet fleet = warm(0.85);
         long start = fleet.nowNanos;
         fleet.load(0.85 * CAPACITY_PER_SECOND, 1_000 * MILLI, INTERACTIVE);
         double p99 = fleet.latencyMillis(0.99, start, "/free");
@@ -96,7 +96,7 @@
         fleet.load(1.3 * CAPACITY_PER_SECOND, 2_000 * MILLI, mix);
         assertThat(served(fleet) - before).isGreaterThan((long) (0.95 * 2 * CAPACITY_PER_SECOND));
         assertThat(fleet.latencyMillis(0.99, since, "/free")).isLessThan(2 * p99);
-        List<FakeFleet.FakeCall> interactive =
+        List<FakeCall> interactive =
                 arrivedSince(fleet, since).stream()
                         .filter(call -> call.head.path().equals("/free"))
                         .toList();
@@ -112,7 +112,7 @@
         double best = Double.MAX_VALUE;
         double adaptive = 0;
         for (PolicyName policy : PolicyName.values()) {
-            FakeFleet fleet = PolicyComparison.fleet(policy, "a1", "a2");
+            LoadedFleet fleet = PolicyComparison.fleet(policy, "a1", "a2");
             fleet.load(utilisation * CAPACITY_PER_SECOND, 500 * MILLI, INTERACTIVE);
             long since = fleet.nowNanos;
             fleet.load(utilisation * CAPACITY_PER_SECOND, 2_000 * MILLI, INTERACTIVE);
@@ -126,21 +126,21 @@
         assertThat(adaptive).isLessThanOrEqualTo(1.05 * best);
     }
 
-    private static FakeFleet warm(double utilisation) {
-        FakeFleet fleet = PolicyComparison.fleet(PolicyName.ADAPTIVE, "a1", "a2", "a1");
+    private static LoadedFleet warm(double utilisation) {
+        LoadedFleet fleet = PolicyComparison.fleet(PolicyName.ADAPTIVE, "a1", "a2", "a1");
         fleet.load(utilisation * CAPACITY_PER_SECOND, 1_000 * MILLI, INTERACTIVE);
         return fleet;
     }
 
-    private static long servedBy(FakeFleet fleet, String server) {
+    private static long servedBy(LoadedFleet fleet, String server) {
         return fleet.server(server).served;
     }
 
-    private static long served(FakeFleet fleet) {
+    private static long served(LoadedFleet fleet) {
         return fleet.servers.values().stream().mapToLong(server -> server.served).sum();
     }
 
-    private static Collection<FakeFleet.FakeCall> arrivedSince(FakeFleet fleet, long sinceNanos) {
+    private static Collection<FakeCall> arrivedSince(LoadedFleet fleet, long sinceNanos) {
         return fleet.calls.values().stream().filter(c -> c.arrivedNanos >= sinceNanos).toList();
     }
 }
