Wait for the idle connection in the test of the connection limit

Cause: the test closed a backend connection and at once expected the next call to succeed. One of three runs failed, because the closed connection was taken from the pool, or the connection was not yet back in it.

Change: the backend server keeps answering, and a refused request on the same caller connection shows that the I/O thread has given the connection back. The test now also requires that an idle connection of another thread makes room.

--- a/server/src/test/java/org/snipeslip/server/http/FakeBackend.java
+++ b/server/src/test/java/org/snipeslip/server/http/FakeBackend.java
@@ -43,7 +43,7 @@
                         });
     }
 
-    private static void answer(RawSocket connection) {
+    static void answer(RawSocket connection) {
         try {
             while (true) {
                 String target = connection.readHead().split(" ")[1];
--- a/server/src/test/java/org/snipeslip/server/http/TriesTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/TriesTest.java
@@ -125,19 +125,29 @@
             backend.write(OK);
             one.readHead();
             one.read(2);
-            shell.engine.await(Event.TryCompleted.class);
+            awaitIdle(one);
             Thread answering = shell.backend.answerWithTarget();
-            backend.close();
+            Thread.ofVirtual().start(() -> FakeBackend.answer(backend));
             for (int i = 0; i < 4; i++) {
                 try (RawSocket next = shell.call(ShellFixture.get("/n"))) {
                     assertThat(next.readHead()).startsWith("HTTP/1.1 200 ");
-                    shell.engine.await(Event.TryCompleted.class);
+                    assertThat(next.read(2)).isEqualTo("/n");
+                    awaitIdle(next);
                 }
             }
             answering.interrupt();
         }
     }
 
+    /**
+     * A connection returns to the pool one task after its response. The answer to another request
+     * on the same caller connection comes from the same I/O thread after that task.
+     */
+    private static void awaitIdle(RawSocket caller) throws IOException {
+        caller.write("GET / HTTP/1.1\r\nHost: h\r\nExpect: tea\r\n\r\n");
+        assertThat(caller.readHead()).startsWith("HTTP/1.1 417 ");
+    }
+
     /** Guards against a "not run" that is untrue, or an "unknown" where no byte was sent. */
     @Test
     void refusedConnectionIsNotConnected() throws Exception {
