--- a/server/src/test/java/org/snipeslip/server/scenario/Node.java
+++ b/server/src/test/java/org/snipeslip/server/scenario/Node.java
@@ -12,6 +12,7 @@
 import org.snipeslip.core.instance.Instance;
 import org.snipeslip.core.instance.InstanceSettings;
 import org.snipeslip.core.instance.StopSettings;
+import org.snipeslip.core.once.OnceSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
 import org.snipeslip.server.config.ConfigJson;
@@ -57,6 +58,7 @@
                         world.nowNanos / 1_000_000 + life,
                         CallSettings.DEFAULT,
                         ControlSettings.DEFAULT,
+                        OnceSettings.DEFAULT,
                         StopSettings.DEFAULT);
         instance = new Instance(settings, new ConfigJson(), world.random.nextLong());
         take(new Event.Started());
