--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -35,7 +35,8 @@
      * @param seed seed of all random choices
      */
     public Instance(InstanceSettings settings, ConfigCodec codec, long seed) {
-        this.calls = new CallEngine(settings.call(), settings.region(), seed);
+        this.calls =
+                new CallEngine(settings.call(), settings.region(), settings.failureDomain(), seed);
         this.control = new ControlEngine(settings.control(), codec, seed + 1);
         this.once =
                 new OnceEngine(
--- a/server/src/main/java/org/snipeslip/server/settings/MeasuringSettings.java
+++ b/server/src/main/java/org/snipeslip/server/settings/MeasuringSettings.java
@@ -1,5 +1,7 @@
 package org.snipeslip.server.settings;
 
+import org.snipeslip.core.measure.MeasureSettings;
+
 /**
  * Budget of the measurements of one instance.
  *
@@ -13,9 +15,25 @@
         int callsPerSecond,
         int crossRegionBytesPerSecond,
         int crossRegionCallsPerSecond) {
+    /** Defaults, those of the decision core. */
+    public static final MeasuringSettings DEFAULT =
+            new MeasuringSettings(
+                    MeasureSettings.DEFAULT.bytesPerSecond(),
+                    MeasureSettings.DEFAULT.callsPerSecond(),
+                    MeasureSettings.DEFAULT.crossRegionBytesPerSecond(),
+                    MeasureSettings.DEFAULT.crossRegionCallsPerSecond());
+
     /**
-     * Defaults. All control traffic of an instance is bounded to 15 KB/s; membership and
-     * configuration need the other half.
+     * Returns the budget of probes for the decision core.
+     *
+     * @return the budget
      */
-    public static final MeasuringSettings DEFAULT = new MeasuringSettings(7_500, 50, 750, 5);
+    public MeasureSettings probes() {
+        return new MeasureSettings(
+                callsPerSecond,
+                bytesPerSecond,
+                crossRegionCallsPerSecond,
+                crossRegionBytesPerSecond,
+                MeasureSettings.DEFAULT.staleMillis());
+    }
 }
--- a/server/src/main/java/org/snipeslip/server/settings/SelectionName.java
+++ b/server/src/main/java/org/snipeslip/server/settings/SelectionName.java
@@ -1,22 +1,35 @@
 package org.snipeslip.server.settings;
 
+import org.snipeslip.core.selection.PolicyName;
+
 /** Names of the selection policies. */
 public enum SelectionName {
     /** Least expected time to an answer; the default. */
-    EXPECTED_TIME("expected-time"),
+    EXPECTED_TIME("expected-time", PolicyName.ADAPTIVE),
     /** Baseline: any backend server with equal probability. */
-    RANDOM("random"),
+    RANDOM("random", PolicyName.RANDOM),
     /** Baseline: each backend server in turn. */
-    ROUND_ROBIN("round-robin"),
+    ROUND_ROBIN("round-robin", PolicyName.ROUND_ROBIN),
     /** Baseline: fewest calls of this instance in flight. */
-    LEAST_IN_FLIGHT("least-in-flight"),
+    LEAST_IN_FLIGHT("least-in-flight", PolicyName.LEAST_IN_FLIGHT),
     /** Baseline: the better of two random ones. */
-    POWER_OF_TWO("power-of-two");
+    POWER_OF_TWO("power-of-two", PolicyName.TWO_CHOICES);
 
     private final String text;
+    private final PolicyName policy;
 
-    SelectionName(String text) {
+    SelectionName(String text, PolicyName policy) {
         this.text = text;
+        this.policy = policy;
+    }
+
+    /**
+     * Returns the policy of the decision core.
+     *
+     * @return the policy
+     */
+    public PolicyName policy() {
+        return policy;
     }
 
     /**
--- a/server/src/main/java/org/snipeslip/server/settings/SettingsAssembler.java
+++ b/server/src/main/java/org/snipeslip/server/settings/SettingsAssembler.java
@@ -51,8 +51,8 @@
                 objectApi(),
                 node.path("ioThreads").asInt(ProcessSettings.DEFAULT_IO_THREADS),
                 incarnation,
-                node.path("instances").asInt(ProcessSettings.DEFAULT_INSTANCES),
-                SelectionName.of(node.path("selection").asText(SelectionName.EXPECTED_TIME.text())),
+                instances(),
+                selection(),
                 peers(),
                 limits,
                 measuring(node.path("measuring")),
@@ -61,19 +61,34 @@
     }
 
     private InstanceSettings instance(LimitSettings limits, long incarnation) {
-        CallSettings calls = CallSettings.DEFAULT;
         return new InstanceSettings(
                 new InstanceId(text("instance")),
                 new FailureDomainId(text("failureDomain")),
                 new RegionId(text("region")),
                 peerAddress("peerAddress", text("peerAddress")),
                 incarnation,
-                new CallSettings(calls.maxTries(), calls.maxDepth(), limits.queue()),
+                calls(limits),
                 ControlSettings.DEFAULT,
                 OnceSettings.DEFAULT,
                 stop(node.path("stop")));
     }
 
+    private CallSettings calls(LimitSettings limits) {
+        return CallSettings.DEFAULT
+                .withQueueLimit(limits.queue())
+                .withInstances(instances())
+                .withPolicy(selection().policy())
+                .withMeasure(measuring(node.path("measuring")).probes());
+    }
+
+    private int instances() {
+        return node.path("instances").asInt(ProcessSettings.DEFAULT_INSTANCES);
+    }
+
+    private SelectionName selection() {
+        return SelectionName.of(node.path("selection").asText(SelectionName.EXPECTED_TIME.text()));
+    }
+
     private StopSettings stop(JsonNode group) {
         StopSettings absent = StopSettings.DEFAULT;
         StopSettings stop =
