--- a/cli/src/main/java/org/snipeslip/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/snipeslip/cli/ExplainCommand.java
@@ -35,7 +35,7 @@
         String id = URLEncoder.encode(words.getFirst(), StandardCharsets.UTF_8);
         try (HttpSession session = new HttpSession()) {
             Either<IOException, HttpSession.Reply> reply =
-                    session.get(options.valueOf(operator), "/explain/" + id);
+                    session.get(options.valueOf(operator), "/explain?request=" + id);
             if (reply.isLeft()) {
                 console.message(reply.getLeft().toString());
                 return ExitCode.UNAVAILABLE;
--- a/core/src/main/java/org/snipeslip/core/store/StoreSettings.java
+++ b/core/src/main/java/org/snipeslip/core/store/StoreSettings.java
@@ -22,9 +22,29 @@
         long backOffMaxMillis,
         long trialMillis) {
     /**
-     * Defaults. The largest back-off leaves half of the 3 s in which a configuration spreads after
-     * the object API returns.
+     * Defaults. 17 instances together stay at half of the 2,000 reads per second that the object
+     * API serves, appends of the at-most-once engine included. The largest back-off leaves half of
+     * the 3 s in which a configuration spreads after the object API returns.
      */
     public static final StoreSettings DEFAULT =
-            new StoreSettings(100, 100, 32, 256, 5_000, 50, 1_500, 500);
+            new StoreSettings(60, 60, 32, 256, 5_000, 50, 1_500, 500);
+
+    /**
+     * Returns the same settings with another rate.
+     *
+     * @param newCallsPerSecond rate at which the token bucket fills
+     * @param newBurst capacity of the token bucket
+     * @return the settings
+     */
+    public StoreSettings withRate(int newCallsPerSecond, int newBurst) {
+        return new StoreSettings(
+                newCallsPerSecond,
+                newBurst,
+                maxInFlight,
+                queueLimit,
+                queueMaxMillis,
+                backOffMinMillis,
+                backOffMaxMillis,
+                trialMillis);
+    }
 }
--- a/peer/src/main/java/org/snipeslip/peer/proto/ClaimRecord.java
+++ b/peer/src/main/java/org/snipeslip/peer/proto/ClaimRecord.java
@@ -31,6 +31,7 @@
     keyDigest_ = "";
     fingerprint_ = "";
     state_ = 0;
+    grantee_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -185,6 +186,67 @@
     return answer_ == null ? org.snipeslip.peer.proto.Answer.getDefaultInstance() : answer_;
   }
 
+  public static final int GRANTEE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object grantee_ = "";
+  /**
+   * <code>string grantee = 6;</code>
+   * @return The grantee.
+   */
+  @java.lang.Override
+  public java.lang.String getGrantee() {
+    java.lang.Object ref = grantee_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      grantee_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string grantee = 6;</code>
+   * @return The bytes for grantee.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getGranteeBytes() {
+    java.lang.Object ref = grantee_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      grantee_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int INCARNATION_FIELD_NUMBER = 7;
+  private long incarnation_ = 0L;
+  /**
+   * <code>int64 incarnation = 7;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public long getIncarnation() {
+    return incarnation_;
+  }
+
+  public static final int CLAIM_FIELD_NUMBER = 8;
+  private long claim_ = 0L;
+  /**
+   * <code>int64 claim = 8;</code>
+   * @return The claim.
+   */
+  @java.lang.Override
+  public long getClaim() {
+    return claim_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -214,6 +276,15 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(5, getAnswer());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(grantee_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, grantee_);
+    }
+    if (incarnation_ != 0L) {
+      output.writeInt64(7, incarnation_);
+    }
+    if (claim_ != 0L) {
+      output.writeInt64(8, claim_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -236,6 +307,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, getAnswer());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(grantee_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, grantee_);
+    }
+    if (incarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, incarnation_);
+    }
+    if (claim_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, claim_);
+    }
     return size;
   }
   @java.lang.Override
@@ -272,6 +354,12 @@
       if (!getAnswer()
           .equals(other.getAnswer())) return false;
     }
+    if (!getGrantee()
+        .equals(other.getGrantee())) return false;
+    if (getIncarnation()
+        != other.getIncarnation()) return false;
+    if (getClaim()
+        != other.getClaim()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -296,6 +384,14 @@
       hash = (37 * hash) + ANSWER_FIELD_NUMBER;
       hash = (53 * hash) + getAnswer().hashCode();
     }
+    hash = (37 * hash) + GRANTEE_FIELD_NUMBER;
+    hash = (53 * hash) + getGrantee().hashCode();
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getIncarnation());
+    hash = (37 * hash) + CLAIM_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getClaim());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -442,6 +538,9 @@
         answerBuilder_.dispose();
         answerBuilder_ = null;
       }
+      grantee_ = "";
+      incarnation_ = 0L;
+      claim_ = 0L;
       return this;
     }
 
@@ -494,6 +593,15 @@
             : answerBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.grantee_ = grantee_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.claim_ = claim_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -528,6 +636,17 @@
       if (other.hasAnswer()) {
         mergeAnswer(other.getAnswer());
       }
+      if (!other.getGrantee().isEmpty()) {
+        grantee_ = other.grantee_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (other.getIncarnation() != 0L) {
+        setIncarnation(other.getIncarnation());
+      }
+      if (other.getClaim() != 0L) {
+        setClaim(other.getClaim());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -579,6 +698,21 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              grantee_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 56: {
+              incarnation_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 64: {
+              claim_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -943,6 +1077,142 @@
       return answerBuilder_;
     }
 
+    private java.lang.Object grantee_ = "";
+    /**
+     * <code>string grantee = 6;</code>
+     * @return The grantee.
+     */
+    public java.lang.String getGrantee() {
+      java.lang.Object ref = grantee_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        grantee_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string grantee = 6;</code>
+     * @return The bytes for grantee.
+     */
+    public com.google.protobuf.ByteString
+        getGranteeBytes() {
+      java.lang.Object ref = grantee_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        grantee_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string grantee = 6;</code>
+     * @param value The grantee to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGrantee(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      grantee_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string grantee = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGrantee() {
+      grantee_ = getDefaultInstance().getGrantee();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string grantee = 6;</code>
+     * @param value The bytes for grantee to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGranteeBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      grantee_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private long incarnation_ ;
+    /**
+     * <code>int64 incarnation = 7;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+    /**
+     * <code>int64 incarnation = 7;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(long value) {
+
+      incarnation_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 incarnation = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      incarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long claim_ ;
+    /**
+     * <code>int64 claim = 8;</code>
+     * @return The claim.
+     */
+    @java.lang.Override
+    public long getClaim() {
+      return claim_;
+    }
+    /**
+     * <code>int64 claim = 8;</code>
+     * @param value The claim to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClaim(long value) {
+
+      claim_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 claim = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClaim() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      claim_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:snipeslip.peer.ClaimRecord)
   }
 
--- a/peer/src/main/java/org/snipeslip/peer/proto/OwnershipHandover.java
+++ b/peer/src/main/java/org/snipeslip/peer/proto/OwnershipHandover.java
@@ -152,15 +152,26 @@
     return records_.get(index);
   }
 
-  public static final int LAST_FIELD_NUMBER = 5;
-  private boolean last_ = false;
+  public static final int PART_FIELD_NUMBER = 5;
+  private int part_ = 0;
   /**
-   * <code>bool last = 5;</code>
-   * @return The last.
+   * <code>int32 part = 5;</code>
+   * @return The part.
    */
   @java.lang.Override
-  public boolean getLast() {
-    return last_;
+  public int getPart() {
+    return part_;
+  }
+
+  public static final int PARTS_FIELD_NUMBER = 6;
+  private int parts_ = 0;
+  /**
+   * <code>int32 parts = 6;</code>
+   * @return The parts.
+   */
+  @java.lang.Override
+  public int getParts() {
+    return parts_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -189,8 +200,11 @@
     for (int i = 0; i < records_.size(); i++) {
       output.writeMessage(4, records_.get(i));
     }
-    if (last_ != false) {
-      output.writeBool(5, last_);
+    if (part_ != 0) {
+      output.writeInt32(5, part_);
+    }
+    if (parts_ != 0) {
+      output.writeInt32(6, parts_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -216,9 +230,13 @@
           }
           size += 1 * count;
         }
-    if (last_ != false) {
+    if (part_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(5, part_);
+    }
+    if (parts_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(5, last_);
+        .computeInt32Size(6, parts_);
     }
     return size;
   }
@@ -252,8 +270,10 @@
         != other.getEpoch()) return false;
     if (!getRecordsList()
         .equals(other.getRecordsList())) return false;
-    if (getLast()
-        != other.getLast()) return false;
+    if (getPart()
+        != other.getPart()) return false;
+    if (getParts()
+        != other.getParts()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -276,9 +296,10 @@
       hash = (37 * hash) + RECORDS_FIELD_NUMBER;
       hash = (53 * hash) + getRecordsList().hashCode();
     }
-    hash = (37 * hash) + LAST_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getLast());
+    hash = (37 * hash) + PART_FIELD_NUMBER;
+    hash = (53 * hash) + getPart();
+    hash = (37 * hash) + PARTS_FIELD_NUMBER;
+    hash = (53 * hash) + getParts();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -420,7 +441,8 @@
         recordsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
-      last_ = false;
+      part_ = 0;
+      parts_ = 0;
       return this;
     }
 
@@ -477,7 +499,10 @@
         result.epoch_ = epoch_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.last_ = last_;
+        result.part_ = part_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.parts_ = parts_;
       }
     }
 
@@ -530,8 +555,11 @@
           }
         }
       }
-      if (other.getLast() != false) {
-        setLast(other.getLast());
+      if (other.getPart() != 0) {
+        setPart(other.getPart());
+      }
+      if (other.getParts() != 0) {
+        setParts(other.getParts());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -586,10 +614,15 @@
               break;
             } // case 34
             case 40: {
-              last_ = input.readBool();
+              part_ = input.readInt32();
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              parts_ = input.readInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -977,34 +1010,66 @@
       return recordsBuilder_;
     }
 
-    private boolean last_ ;
+    private int part_ ;
     /**
-     * <code>bool last = 5;</code>
-     * @return The last.
+     * <code>int32 part = 5;</code>
+     * @return The part.
      */
     @java.lang.Override
-    public boolean getLast() {
-      return last_;
+    public int getPart() {
+      return part_;
     }
     /**
-     * <code>bool last = 5;</code>
-     * @param value The last to set.
+     * <code>int32 part = 5;</code>
+     * @param value The part to set.
      * @return This builder for chaining.
      */
-    public Builder setLast(boolean value) {
+    public Builder setPart(int value) {
 
-      last_ = value;
+      part_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>bool last = 5;</code>
+     * <code>int32 part = 5;</code>
      * @return This builder for chaining.
      */
-    public Builder clearLast() {
+    public Builder clearPart() {
       bitField0_ = (bitField0_ & ~0x00000010);
-      last_ = false;
+      part_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int parts_ ;
+    /**
+     * <code>int32 parts = 6;</code>
+     * @return The parts.
+     */
+    @java.lang.Override
+    public int getParts() {
+      return parts_;
+    }
+    /**
+     * <code>int32 parts = 6;</code>
+     * @param value The parts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setParts(int value) {
+
+      parts_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 parts = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearParts() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      parts_ = 0;
       onChanged();
       return this;
     }
--- a/peer/src/main/java/org/snipeslip/peer/proto/OwnershipHandoverOrBuilder.java
+++ b/peer/src/main/java/org/snipeslip/peer/proto/OwnershipHandoverOrBuilder.java
@@ -59,8 +59,14 @@
       int index);
 
   /**
-   * <code>bool last = 5;</code>
-   * @return The last.
+   * <code>int32 part = 5;</code>
+   * @return The part.
    */
-  boolean getLast();
+  int getPart();
+
+  /**
+   * <code>int32 parts = 6;</code>
+   * @return The parts.
+   */
+  int getParts();
 }
--- a/peer/src/main/java/org/snipeslip/peer/proto/PeerProto.java
+++ b/peer/src/main/java/org/snipeslip/peer/proto/PeerProto.java
@@ -187,27 +187,29 @@
       "\001(\t\022\021\n\tpartition\030\004 \001(\005\022\022\n\nkey_digest\030\005 \001" +
       "(\t\022%\n\003end\030\006 \001(\0162\030.snipeslip.peer.ClaimEn" +
       "d\022&\n\006answer\030\007 \001(\0132\026.snipeslip.peer.Answe" +
-      "r\"\233\001\n\013ClaimRecord\022\022\n\nkey_digest\030\001 \001(\t\022\023\n" +
+      "r\"\320\001\n\013ClaimRecord\022\022\n\nkey_digest\030\001 \001(\t\022\023\n" +
       "\013fingerprint\030\002 \001(\t\022\'\n\005state\030\003 \001(\0162\030.snip" +
       "eslip.peer.ClaimEnd\022\022\n\nage_millis\030\004 \001(\003\022" +
-      "&\n\006answer\030\005 \001(\0132\026.snipeslip.peer.Answer\"" +
-      "\200\001\n\021OwnershipHandover\022\r\n\005group\030\001 \001(\t\022\021\n\t" +
-      "partition\030\002 \001(\005\022\r\n\005epoch\030\003 \001(\003\022,\n\007record" +
-      "s\030\004 \003(\0132\033.snipeslip.peer.ClaimRecord\022\014\n\004" +
-      "last\030\005 \001(\010*k\n\006Status\022\026\n\022STATUS_UNSPECIFI" +
-      "ED\020\000\022\020\n\014STATUS_ALIVE\020\001\022\022\n\016STATUS_LEAVING" +
-      "\020\002\022\022\n\016STATUS_SUSPECT\020\003\022\017\n\013STATUS_DEAD\020\004*" +
-      "\364\001\n\007Verdict\022\027\n\023VERDICT_UNSPECIFIED\020\000\022\023\n\017" +
-      "VERDICT_GRANTED\020\001\022\024\n\020VERDICT_RECORDED\020\002\022" +
-      "\027\n\023VERDICT_IN_PROGRESS\020\003\022\033\n\027VERDICT_OUTC" +
-      "OME_UNKNOWN\020\004\022\026\n\022VERDICT_KEY_REUSED\020\005\022\037\n" +
-      "\033VERDICT_UNAVAILABLE_NOT_RUN\020\006\022\037\n\033VERDIC" +
-      "T_UNAVAILABLE_UNKNOWN\020\007\022\025\n\021VERDICT_NOT_O" +
-      "WNER\020\010*\202\001\n\010ClaimEnd\022\031\n\025CLAIM_END_UNSPECI" +
-      "FIED\020\000\022\025\n\021CLAIM_END_GRANTED\020\001\022\026\n\022CLAIM_E" +
-      "ND_ANSWERED\020\002\022\025\n\021CLAIM_END_NOT_RUN\020\003\022\025\n\021" +
-      "CLAIM_END_UNKNOWN\020\004B\'\n\030org.snipeslip.pee" +
-      "r.protoB\tPeerProtoP\001b\006proto3"
+      "&\n\006answer\030\005 \001(\0132\026.snipeslip.peer.Answer\022" +
+      "\017\n\007grantee\030\006 \001(\t\022\023\n\013incarnation\030\007 \001(\003\022\r\n" +
+      "\005claim\030\010 \001(\003\"\217\001\n\021OwnershipHandover\022\r\n\005gr" +
+      "oup\030\001 \001(\t\022\021\n\tpartition\030\002 \001(\005\022\r\n\005epoch\030\003 " +
+      "\001(\003\022,\n\007records\030\004 \003(\0132\033.snipeslip.peer.Cl" +
+      "aimRecord\022\014\n\004part\030\005 \001(\005\022\r\n\005parts\030\006 \001(\005*k" +
+      "\n\006Status\022\026\n\022STATUS_UNSPECIFIED\020\000\022\020\n\014STAT" +
+      "US_ALIVE\020\001\022\022\n\016STATUS_LEAVING\020\002\022\022\n\016STATUS" +
+      "_SUSPECT\020\003\022\017\n\013STATUS_DEAD\020\004*\364\001\n\007Verdict\022" +
+      "\027\n\023VERDICT_UNSPECIFIED\020\000\022\023\n\017VERDICT_GRAN" +
+      "TED\020\001\022\024\n\020VERDICT_RECORDED\020\002\022\027\n\023VERDICT_I" +
+      "N_PROGRESS\020\003\022\033\n\027VERDICT_OUTCOME_UNKNOWN\020" +
+      "\004\022\026\n\022VERDICT_KEY_REUSED\020\005\022\037\n\033VERDICT_UNA" +
+      "VAILABLE_NOT_RUN\020\006\022\037\n\033VERDICT_UNAVAILABL" +
+      "E_UNKNOWN\020\007\022\025\n\021VERDICT_NOT_OWNER\020\010*\202\001\n\010C" +
+      "laimEnd\022\031\n\025CLAIM_END_UNSPECIFIED\020\000\022\025\n\021CL" +
+      "AIM_END_GRANTED\020\001\022\026\n\022CLAIM_END_ANSWERED\020" +
+      "\002\022\025\n\021CLAIM_END_NOT_RUN\020\003\022\025\n\021CLAIM_END_UN" +
+      "KNOWN\020\004B\'\n\030org.snipeslip.peer.protoB\tPee" +
+      "rProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -326,13 +328,13 @@
     internal_static_snipeslip_peer_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_snipeslip_peer_ClaimRecord_descriptor,
-        new java.lang.String[] { "KeyDigest", "Fingerprint", "State", "AgeMillis", "Answer", });
+        new java.lang.String[] { "KeyDigest", "Fingerprint", "State", "AgeMillis", "Answer", "Grantee", "Incarnation", "Claim", });
     internal_static_snipeslip_peer_OwnershipHandover_descriptor =
       getDescriptor().getMessageType(19);
     internal_static_snipeslip_peer_OwnershipHandover_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_snipeslip_peer_OwnershipHandover_descriptor,
-        new java.lang.String[] { "Group", "Partition", "Epoch", "Records", "Last", });
+        new java.lang.String[] { "Group", "Partition", "Epoch", "Records", "Part", "Parts", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/server/src/main/java/org/snipeslip/server/operator/OperatorHandler.java
+++ b/server/src/main/java/org/snipeslip/server/operator/OperatorHandler.java
@@ -28,6 +28,7 @@
     private final ServerMetrics metrics;
     private final RecentDecisions decisions;
     private final ToIntFunction<BackendServer> openConnections;
+    private final Supplier<String> members;
 
     /**
      * Creates a handler.
@@ -37,18 +38,21 @@
      * @param metrics the metrics
      * @param decisions recent decisions, for explanations
      * @param openConnections counts this instance's connections to a backend server
+     * @param members tells of members, object API budget and peer traffic, one fact a line
      */
     public OperatorHandler(
             Supplier<ConfigSet> config,
             BooleanSupplier ready,
             ServerMetrics metrics,
             RecentDecisions decisions,
-            ToIntFunction<BackendServer> openConnections) {
+            ToIntFunction<BackendServer> openConnections,
+            Supplier<String> members) {
         this.config = config;
         this.ready = ready;
         this.metrics = metrics;
         this.decisions = decisions;
         this.openConnections = openConnections;
+        this.members = members;
     }
 
     @Override
@@ -63,6 +67,7 @@
             // Large texts are built on a worker thread; an I/O thread would delay its calls.
             case "/metrics" -> exchange.dispatch(this::sendMetrics);
             case "/tables" -> exchange.dispatch(this::sendTables);
+            case "/members" -> exchange.dispatch(e -> e.getResponseSender().send(members.get()));
             case "/explain" -> exchange.dispatch(this::sendExplanation);
             default -> exchange.setStatusCode(StatusCodes.NOT_FOUND).endExchange();
         }
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -14,6 +14,8 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Instance;
+import org.snipeslip.peer.PeerKey;
+import org.snipeslip.peer.PeerTransport;
 import org.snipeslip.server.config.ConfigJson;
 import org.snipeslip.server.http.BackendConnections;
 import org.snipeslip.server.http.CallHandler;
@@ -40,6 +42,9 @@
     private static final long IDLE_SWEEP_MILLIS = 10_000;
     private static final long WORKER_STOP_SECONDS = 2;
 
+    /** Time for refusals that the stop gave to open calls to reach their callers. */
+    private static final long ANSWERS_MILLIS = 500;
+
     private final XnioWorker worker;
     private final Timers timers = new Timers();
     private final ByteBufferPool buffers;
@@ -52,6 +57,7 @@
     private final InstanceRuntime runtime;
     private final CallerListener callerListener;
     private final Undertow operatorServer;
+    private final PeerTransport peers = new PeerTransport();
     private final CountDownLatch stopped = new CountDownLatch(1);
 
     /**
@@ -86,6 +92,7 @@
                         timers,
                         metrics,
                         this::record,
+                        peers::send,
                         this::finishStop);
         registerGauges();
         String requestIdPrefix =
@@ -107,6 +114,7 @@
                                 requestIdPrefix));
         operatorServer = server(settings.operatorAddress(), operatorHandler()).build();
         operatorServer.start();
+        startPeers(settings);
         timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
         runtime.handle(new Event.Started());
     }
@@ -120,7 +128,10 @@
         return instance.isReady() && !callers.isLeaving();
     }
 
-    /** Begins the planned stop: not ready, and no further request on open connections. */
+    /**
+     * Begins the planned stop: not ready, and no further request on open connections. A second
+     * request ends the stop at once.
+     */
     public void requestStop() {
         callers.leave();
         runtime.handle(new Event.StopRequested());
@@ -139,7 +150,10 @@
     public void close() {
         callerListener.close();
         operatorServer.stop();
+        callers.leave();
+        callers.awaitAnswers(ANSWERS_MILLIS);
         callers.closeAll();
+        peers.close();
         runtime.close();
         timers.close();
         connections.close();
@@ -155,17 +169,29 @@
 
     private void finishStop(Action.FinishStop action) {
         LOG.info("planned stop done, {} calls open", action.openCalls());
-        callers.closeIdle();
         stopped.countDown();
     }
 
+    private void startPeers(ProcessSettings settings) {
+        if (settings.peers().key().isEmpty()) {
+            LOG.warn("no peerKey in the settings: this instance has no peers");
+            return;
+        }
+        peers.start(
+                settings.instance().peerAddress(),
+                settings.instance().id(),
+                new PeerKey(settings.peers().key()),
+                (from, message) -> runtime.handle(new Event.PeerReceived(from, message)));
+    }
+
     private HttpHandler operatorHandler() {
         return new OperatorHandler(
                 instance::configInForce,
                 this::isReady,
                 metrics,
                 recent,
-                connections::openConnections);
+                connections::openConnections,
+                () -> ControlReport.text(instance, peers));
     }
 
     private void registerGauges() {
--- a/server/src/main/java/org/snipeslip/server/settings/ObjectApiBudget.java
+++ b/server/src/main/java/org/snipeslip/server/settings/ObjectApiBudget.java
@@ -1,5 +1,7 @@
 package org.snipeslip.server.settings;
 
+import org.snipeslip.core.store.StoreSettings;
+
 /**
  * Budget of the object API calls of one instance.
  *
@@ -7,6 +9,8 @@
  * @param burst calls that may be saved up
  */
 public record ObjectApiBudget(int callsPerSecond, int burst) {
-    /** Defaults. 17 instances together stay below a fifth of 2,000 reads/s. */
-    public static final ObjectApiBudget DEFAULT = new ObjectApiBudget(20, 40);
+    /** Defaults, those of the decision core. */
+    public static final ObjectApiBudget DEFAULT =
+            new ObjectApiBudget(
+                    StoreSettings.DEFAULT.callsPerSecond(), StoreSettings.DEFAULT.burst());
 }
--- a/server/src/main/java/org/snipeslip/server/settings/ProcessSettings.java
+++ b/server/src/main/java/org/snipeslip/server/settings/ProcessSettings.java
@@ -73,4 +73,27 @@
                 ObjectApiBudget.DEFAULT,
                 LogSettings.DEFAULT);
     }
+
+    /**
+     * Returns the same settings with other peers.
+     *
+     * @param newPeers key and seed addresses
+     * @return the settings
+     */
+    public ProcessSettings withPeers(PeerSettings newPeers) {
+        return new ProcessSettings(
+                instance,
+                callerAddress,
+                operatorAddress,
+                objectApi,
+                ioThreads,
+                seed,
+                instances,
+                selection,
+                newPeers,
+                limits,
+                measuring,
+                objectApiBudget,
+                log);
+    }
 }
--- a/server/src/main/java/org/snipeslip/server/settings/SettingsAssembler.java
+++ b/server/src/main/java/org/snipeslip/server/settings/SettingsAssembler.java
@@ -19,6 +19,7 @@
 import org.snipeslip.core.once.OnceSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
+import org.snipeslip.core.store.StoreSettings;
 import org.snipeslip.server.settings.SettingsFault.Rule;
 
 /**
@@ -44,8 +45,9 @@
 
     ProcessSettings assemble(long incarnation) {
         LimitSettings limits = limits(node.path("limits"));
+        PeerSettings peers = peers();
         return new ProcessSettings(
-                instance(limits, incarnation),
+                instance(limits, peers, incarnation),
                 address("callerAddress", text("callerAddress")),
                 address("operatorAddress", text("operatorAddress")),
                 objectApi(),
@@ -53,14 +55,14 @@
                 incarnation,
                 instances(),
                 selection(),
-                peers(),
+                peers,
                 limits,
                 measuring(node.path("measuring")),
                 objectApiBudget(node.path("objectApiBudget")),
                 log(node.path("log")));
     }
 
-    private InstanceSettings instance(LimitSettings limits, long incarnation) {
+    private InstanceSettings instance(LimitSettings limits, PeerSettings peers, long incarnation) {
         return new InstanceSettings(
                 new InstanceId(text("instance")),
                 new FailureDomainId(text("failureDomain")),
@@ -68,11 +70,16 @@
                 peerAddress("peerAddress", text("peerAddress")),
                 incarnation,
                 calls(limits),
-                ControlSettings.DEFAULT,
+                ControlSettings.DEFAULT.withSeeds(peers.seeds()).withStore(store()),
                 OnceSettings.DEFAULT,
                 stop(node.path("stop")));
     }
 
+    private StoreSettings store() {
+        ObjectApiBudget budget = objectApiBudget(node.path("objectApiBudget"));
+        return StoreSettings.DEFAULT.withRate(budget.callsPerSecond(), budget.burst());
+    }
+
     private CallSettings calls(LimitSettings limits) {
         return CallSettings.DEFAULT
                 .withQueueLimit(limits.queue())
@@ -187,8 +194,8 @@
     private InetSocketAddress address(String key, String text) {
         int colon = text.lastIndexOf(':');
         String host = text.substring(0, colon).replace("[", "").replace("]", "");
-        int port = Integer.parseInt(text.substring(colon + 1));
         try {
+            int port = Integer.parseInt(text.substring(colon + 1));
             InetAddress.ofLiteral(host);
             if (port >= 1 && port <= MAX_PORT) {
                 return InetSocketAddress.createUnresolved(host, port);
