--- a/server/src/test/java/org/snipeslip/server/scenario/Expectations.java
+++ b/server/src/test/java/org/snipeslip/server/scenario/Expectations.java
@@ -23,7 +23,7 @@
                     assertThat(starts(world, expected).size())
                             .as(expected.toString())
                             .isGreaterThanOrEqualTo((int) expected.value());
-            case "start-share-at-most" -> startShare(world, expected);
+            case "arrival-share-at-most" -> arrivalShare(world, expected);
             case "held-at-most" ->
                     assertThat(starts(world, expected))
                             .as(expected.toString())
@@ -88,18 +88,23 @@
                 .isLessThan(expected.value());
     }
 
-    private static void startShare(World world, ScenarioFile.Expectation expected) {
+    /** Compares the tries sent to one server with those sent to all. */
+    private static void arrivalShare(World world, ScenarioFile.Expectation expected) {
         long all =
                 world.servers.values().stream()
-                        .flatMap(server -> server.starts.stream())
-                        .filter(start -> inWindow(start.atNanos(), expected))
-                        .count();
-        assertThat(all).as("starts in the window of %s", expected).isPositive();
-        assertThat((double) starts(world, expected).size() / all)
-                .as(expected.toString())
+                        .mapToLong(server -> arrivals(server, expected))
+                        .sum();
+        assertThat(all).as("tries in the window of %s", expected).isPositive();
+        long own = arrivals(world.servers.get(expected.target()), expected);
+        assertThat((double) own / all)
+                .as("%s: %d of %d", expected, own, all)
                 .isLessThanOrEqualTo(expected.value());
     }
 
+    private static long arrivals(FakeBackendServer server, ScenarioFile.Expectation expected) {
+        return server.arrivalNanos.stream().filter(at -> inWindow(at, expected)).count();
+    }
+
     private static List<FakeBackendServer.Start> starts(
             World world, ScenarioFile.Expectation expected) {
         return world.servers.values().stream()
--- a/server/src/test/java/org/snipeslip/server/scenario/FakeBackendServer.java
+++ b/server/src/test/java/org/snipeslip/server/scenario/FakeBackendServer.java
@@ -21,6 +21,7 @@
     final String failureDomain;
     final String region;
     final List<Start> starts = new ArrayList<>();
+    final List<Long> arrivalNanos = new ArrayList<>();
     double slowFactor = 1;
     int coldCalls;
     boolean failFast;
@@ -44,6 +45,7 @@
 
     void accept(Node node, TryId tryId, String path, String workKey) {
         Order order = new Order(node, tryId, path, workKey);
+        arrivalNanos.add(world.nowNanos);
         if (unreachable) {
             node.take(new Event.TryFailed(tryId, TryFailure.NOT_CONNECTED, LoadReport.UNKNOWN));
         } else if (failFast) {
