Pace calls to a slow server by its own latency

Cause: scenario straggler sent 52 of 4,226 tries (1.23%) to a server that can serve 1%: at a limit of one call, the random pause followed the mean of the service, so all instances together kept a server busy that was 20 times slower. Ruled out: the hedges alone (the first tries made up the share). Change: the pause follows the server's own latency and may last 1 s. The peer port sets SO_REUSEADDR: a second deployment on the same ports failed to bind.

--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -18,7 +18,7 @@
     void sent(ServerState state, long nowNanos) {
         state.load.sent(nowNanos);
         if (state.warmUp.isCold()) {
-            state.warmUp.sent(pool.warmUpPauseNanos(), nowNanos);
+            state.warmUp.sent(pool.warmUpPauseNanos(state, nowNanos), nowNanos);
         }
     }
 
@@ -85,7 +85,7 @@
         boolean cameBack = !wasInService && state.isInService();
         state.coldReported = report.cold();
         if (becameCold || cameBack) {
-            state.warmUp.startCold(pool.warmUpPauseNanos(), nowNanos);
+            state.warmUp.startCold(pool.warmUpPauseNanos(state, nowNanos), nowNanos);
         }
     }
 
@@ -99,7 +99,7 @@
     }
 
     private void bad(ServerState state, long nowNanos) {
-        state.warmUp.bad(pool.warmUpPauseNanos(), nowNanos);
+        state.warmUp.bad(pool.warmUpPauseNanos(state, nowNanos), nowNanos);
     }
 
     private static int fullLimit(ServerState state) {
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -80,7 +80,7 @@
             if (known == null && firstConfig) {
                 state.warmUp.startProbablyWarm();
             } else if (!wasInService && state.isInService()) {
-                state.warmUp.startCold(warmUpPauseNanos(), nowNanos);
+                state.warmUp.startCold(warmUpPauseNanos(state, nowNanos), nowNanos);
             }
             byId.put(server.id(), state);
         }
@@ -177,9 +177,13 @@
         return adaptive;
     }
 
-    /** On average one call of all instances together in the time of one response. */
-    long warmUpPauseNanos() {
-        double mean = 2.0 * settings.instances() * serviceLoad.meanNanos();
+    /**
+     * On average one call of all instances together in the time that this server needs for one. The
+     * mean of the service would be too short for a straggler: all instances together would keep it
+     * busy and each of these calls would be slow.
+     */
+    long warmUpPauseNanos(ServerState state, long nowNanos) {
+        double mean = 2.0 * settings.instances() * state.load.latencyNanos(nowNanos);
         return (long) (random.nextDouble() * mean);
     }
 
--- a/core/src/main/java/org/snipeslip/core/load/ServerLoad.java
+++ b/core/src/main/java/org/snipeslip/core/load/ServerLoad.java
@@ -203,6 +203,17 @@
         return factor * (estimatedInFlight(nowNanos) + 1) / slots + distance.penaltyNanos();
     }
 
+    /**
+     * Returns the latency that is expected of this server.
+     *
+     * @param nowNanos the time
+     * @return nanoseconds, at least the mean of the service
+     */
+    public double latencyNanos(long nowNanos) {
+        double mean = service.meanNanos();
+        return Math.max(mean, latency.value(mean, nowNanos));
+    }
+
     /**
      * Removes the network's part of a latency.
      *
--- a/core/src/main/java/org/snipeslip/core/warmup/WarmUp.java
+++ b/core/src/main/java/org/snipeslip/core/warmup/WarmUp.java
@@ -12,7 +12,8 @@
     /** Consecutive bad responses after which a warm server counts as cold. */
     private static final int BAD_IN_A_ROW = 3;
 
-    private static final long MAX_PAUSE_NANOS = 100_000_000;
+    /** Bounds the time until a server that recovered is noticed. */
+    private static final long MAX_PAUSE_NANOS = 1_000_000_000;
 
     private int limit = UNLIMITED;
     private int goodAtLimit;
--- a/peer/src/main/java/org/snipeslip/peer/PeerTransport.java
+++ b/peer/src/main/java/org/snipeslip/peer/PeerTransport.java
@@ -71,6 +71,8 @@
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
+                        // A restarted instance must get its port back while old connections linger.
+                        .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
--- a/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
+++ b/standin/src/main/java/org/snipeslip/standin/EmbeddedDeployment.java
@@ -16,7 +16,10 @@
 import org.snipeslip.core.once.OnceSettings;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.spread.ControlSettings;
+import org.snipeslip.server.http.CallLimits;
+import org.snipeslip.server.log.DecisionLogSettings;
 import org.snipeslip.server.runtime.EntryProcess;
+import org.snipeslip.server.runtime.ShellSettings;
 import org.snipeslip.server.settings.PeerSettings;
 import org.snipeslip.server.settings.ProcessSettings;
 import org.xnio.OptionMap;
@@ -40,6 +43,13 @@
     private static final int PORTS_PER_ROLE = 100;
     private static final long READY_WAIT_MILLIS = 20;
 
+    /** Decision lines of many instances in one process would hide the report. */
+    private static final ShellSettings QUIET =
+            new ShellSettings(
+                    CallLimits.DEFAULT,
+                    ShellSettings.DEFAULT.configuredInstances(),
+                    new DecisionLogSettings(0, 1));
+
     private final DeploymentSpec spec;
     private final int basePort;
     private final WorkLedger ledger = new WorkLedger();
@@ -78,7 +88,7 @@
         publisher = new DemoPublisher(origin(basePort));
         publisher.publish(objects.json(List.of()));
         for (int i = 0; i < spec.instances(); i++) {
-            entries.add(new EntryProcess(settings(i)));
+            entries.add(new EntryProcess(settings(i), QUIET));
         }
         awaitReady();
     }
