--- a/core/src/main/java/org/snipeslip/core/call/CallEnds.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEnds.java
@@ -19,6 +19,19 @@
         return new Refusal(reason, outcome, call.bytesSent, retryAfterMillis, Set.of());
     }
 
+    /** A call that waits for its claim may repeat one that ran, so it is not called "not run". */
+    static Refusal refusalAtStop(CallState call) {
+        return call.awaitsClaim
+                ? new Refusal(RefusalReason.STOPPING, Outcome.UNKNOWN, false, 0, Set.of())
+                : refusal(call, RefusalReason.STOPPING, 0);
+    }
+
+    static RefusalReason reasonWhenNone(CallState call) {
+        return call.lastFailure == null
+                ? RefusalReason.NO_BACKEND_SERVER
+                : reasonOf(call.lastFailure);
+    }
+
     static void refuse(CallState call, Refusal refusal, Outbox outbox) {
         outbox.add(new Action.RefuseCaller(call.request, refusal));
         endUnanswered(call, outbox);
--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -105,6 +105,16 @@
         return shards.values().stream().mapToInt(ServiceShard::inFlight).sum();
     }
 
+    /**
+     * Gives every open call the answer that is true for it, at the limit of a planned stop.
+     *
+     * @param nowNanos the time
+     * @param outbox takes the actions
+     */
+    public void abort(long nowNanos, Outbox outbox) {
+        shards.values().forEach(shard -> shard.abort(nowNanos, outbox));
+    }
+
     /**
      * Reads the counters of the measurement budget.
      *
--- a/core/src/main/java/org/snipeslip/core/call/CallState.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallState.java
@@ -59,6 +59,10 @@
         return !idempotent && head.idempotencyKey() != null;
     }
 
+    boolean mayBeHedged() {
+        return idempotent && head.bodyReplayable() && retriesLeft > 0 && tries.size() == 1;
+    }
+
     boolean isAnsweredOrEnded() {
         return ended || winner != null;
     }
--- a/core/src/main/java/org/snipeslip/core/call/OpenTry.java
+++ b/core/src/main/java/org/snipeslip/core/call/OpenTry.java
@@ -17,4 +17,10 @@
         this.serverId = server.server.id();
         this.sentAtNanos = sentAtNanos;
     }
+
+    /** Ends the try; its server has one call fewer in flight. */
+    void release() {
+        open = false;
+        server.load.ended();
+    }
 }
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -144,7 +144,7 @@
         if (each == null || each != call.winner) {
             return;
         }
-        release(each);
+        each.release();
         end(call);
         CallEnds.endAnswered(call, answer, outbox);
         settle(nowNanos, outbox);
@@ -157,7 +157,7 @@
         if (each == null) {
             return;
         }
-        release(each);
+        each.release();
         feedback.failed(each, failure, load, nowNanos);
         call.mayHaveStarted |= failure.mayHaveStarted();
         call.bytesSent |=
@@ -191,6 +191,24 @@
         settle(nowNanos, outbox);
     }
 
+    /** Ends every open call at the limit of a planned stop; a response being relayed is cut. */
+    synchronized void abort(long nowNanos, Outbox outbox) {
+        for (CallState call : List.copyOf(calls.values())) {
+            call.mayHaveStarted |= call.openTries() > 0;
+            call.bytesSent |= call.openTries() > 0;
+            boolean relayed = call.winner != null;
+            call.winner = null;
+            cancelOpenTries(call, nowNanos, outbox);
+            queue.remove(call);
+            if (relayed) {
+                end(call);
+                CallEnds.endUnanswered(call, outbox);
+            } else {
+                refuse(call, CallEnds.refusalAtStop(call), outbox);
+            }
+        }
+    }
+
     synchronized void timerFired(long nowNanos, Outbox outbox) {
         timer.fired();
         if (!queue.isEmpty()) {
@@ -233,7 +251,7 @@
                 return;
             }
             if (!pool.isBusy()) {
-                refuse(call, reasonWhenNone(call), outbox);
+                refuse(call, CallEnds.reasonWhenNone(call), outbox);
                 return;
             }
         }
@@ -306,18 +324,11 @@
                                 ? DecisionRecord.Kind.ROUTED
                                 : DecisionRecord.Kind.RETRIED;
         decisions.sent(call, kind, chosen.server.id(), candidates, outbox);
-        if (settings.hedging() && pool.isAdaptive() && mayBeHedged(call)) {
+        if (settings.hedging() && pool.isAdaptive() && call.mayBeHedged()) {
             hedges.add(call, nowNanos);
         }
     }
 
-    private static boolean mayBeHedged(CallState call) {
-        return call.idempotent
-                && call.head.bodyReplayable()
-                && call.retriesLeft > 0
-                && call.tries.size() == 1;
-    }
-
     /** Sends waiting calls while there is room, and sets the timer for what is left. */
     private void settle(long nowNanos, Outbox outbox) {
         queue.beginRound();
@@ -340,7 +351,7 @@
                 blocked += allBlocked ? MAX_BLOCKED : 1;
             } else {
                 queue.remove(call);
-                refuse(call, reasonWhenNone(call), outbox);
+                refuse(call, CallEnds.reasonWhenNone(call), outbox);
             }
         }
         long due = Math.min(queue.nextSweepNanos(), probes.nextNanos());
@@ -356,12 +367,6 @@
                 outbox);
     }
 
-    private static RefusalReason reasonWhenNone(CallState call) {
-        return call.lastFailure == null
-                ? RefusalReason.NO_BACKEND_SERVER
-                : CallEnds.reasonOf(call.lastFailure);
-    }
-
     private void refuse(CallState call, RefusalReason reason, Outbox outbox) {
         refuse(call, CallEnds.refusal(call, reason, 0), outbox);
     }
@@ -377,7 +382,7 @@
         for (OpenTry each : call.tries) {
             if (each.open && each != call.winner) {
                 outbox.add(new Action.CancelTry(each.id));
-                release(each);
+                each.release();
                 feedback.cancelled(each, nowNanos);
             }
         }
@@ -388,9 +393,4 @@
         calls.remove(call.request);
         openCalls.remove(call.request);
     }
-
-    private static void release(OpenTry each) {
-        each.open = false;
-        each.server.load.ended();
-    }
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -63,12 +63,9 @@
             storeGate.answered(answered, nowNanos);
         }
         dispatch(event, nowNanos, outbox);
-        Object internal;
-        while ((internal = outbox.pollInternal()) != null) {
-            passOn(internal, nowNanos, outbox);
-        }
+        passOnAll(nowNanos, outbox);
         if (stop.isStopping()) {
-            continueStop(outbox);
+            continueStop(nowNanos, outbox);
         }
         return mayCallStore(event, outbox)
                 ? storeGate.pass(outbox.actions(), nowNanos)
@@ -189,9 +186,19 @@
         }
     }
 
-    private void continueStop(Outbox outbox) {
-        if (stop.finish(calls.openCalls() == 0 && once.isHandedOver())) {
-            outbox.add(new Action.FinishStop(calls.openCalls()));
+    private void continueStop(long nowNanos, Outbox outbox) {
+        int open = calls.openCalls();
+        if (stop.finish(open == 0 && once.isHandedOver())) {
+            calls.abort(nowNanos, outbox);
+            passOnAll(nowNanos, outbox);
+            outbox.add(new Action.FinishStop(open));
+        }
+    }
+
+    private void passOnAll(long nowNanos, Outbox outbox) {
+        Object internal;
+        while ((internal = outbox.pollInternal()) != null) {
+            passOn(internal, nowNanos, outbox);
         }
     }
 
--- a/standin/src/main/java/org/snipeslip/standin/bench/Fleet.java
+++ b/standin/src/main/java/org/snipeslip/standin/bench/Fleet.java
@@ -101,7 +101,7 @@
         ioThreads: 1
         instances: %d
         log:
-          decisions: false
+          decisions: "off"
         """
                 .formatted(
                         index,
