--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/http/BackendConnectionsTest.java
@@ -0,0 +1,21 @@
+package org.snipeslip.server.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.FailureDomainId;
+
+/** Guards against IPv6 backend servers, which the check accepts, that cannot be reached. */
+class BackendConnectionsTest {
+    @ParameterizedTest
+    @CsvSource({"127.0.0.1, 127.0.0.1:8080", "::1, [::1]:8080"})
+    void writesTheAuthority(String host, String expected) {
+        BackendServer server =
+                new BackendServer(
+                        new BackendServerId("b"), host, 8080, new FailureDomainId("d"), 1, 1, false);
+        assertThat(BackendConnections.authority(server)).isEqualTo(expected);
+    }
+}
