--- a/peer/src/main/java/org/snipeslip/peer/PeerTransport.java
+++ b/peer/src/main/java/org/snipeslip/peer/PeerTransport.java
@@ -46,6 +46,7 @@
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     private volatile InstanceId own;
     private volatile PeerKey key;
+    private volatile Channel server;
 
     /** Creates a transport that does not listen yet. */
     public PeerTransport() {}
@@ -67,7 +68,7 @@
             BiConsumer<InstanceId, PeerMessage> receiver) {
         own = ownId;
         key = sharedKey;
-        Channel server =
+        server =
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
@@ -146,6 +147,10 @@
 
     @Override
     public void close() {
+        if (server != null) {
+            // Closed while the event loop still runs: its selector then releases the port.
+            server.close().syncUninterruptibly();
+        }
         group.shutdownGracefully(0, SHUTDOWN_SECONDS, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/server/src/test/java/org/snipeslip/server/http/BackendConnectionsTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/BackendConnectionsTest.java
@@ -15,7 +15,13 @@
     void writesTheAuthority(String host, String expected) {
         BackendServer server =
                 new BackendServer(
-                        new BackendServerId("b"), host, 8080, new FailureDomainId("d"), 1, 1, false);
+                        new BackendServerId("b"),
+                        host,
+                        8080,
+                        new FailureDomainId("d"),
+                        1,
+                        1,
+                        false);
         assertThat(BackendConnections.authority(server)).isEqualTo(expected);
     }
 }
