Use the one hedge rule for queueing hedges and drop unused parts of the stand-ins

Cause: a read of the whole change. CallState repeated the rule of RetryRule.mayHedge, and counters and methods of the stand-ins had no caller. Change: CallState.mayBeHedged calls the rule; Behaviour.withDraining, WorkLedger.starts, BackendServerStandIn.served and mostWhileCold are removed.

--- a/core/src/main/java/org/snipeslip/core/call/CallState.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallState.java
@@ -6,6 +6,7 @@
 import org.snipeslip.core.config.Route;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.TryId;
+import org.snipeslip.core.retry.RetryRule;
 import org.snipeslip.core.routing.HomeRegions;
 
 /** One open call. Guarded by the lock of its {@link ServiceShard}. */
@@ -59,8 +60,10 @@
         return !idempotent && head.idempotencyKey() != null;
     }
 
-    boolean mayBeHedged() {
-        return idempotent && head.bodyReplayable() && retriesLeft > 0 && tries.size() == 1;
+    boolean mayBeHedged(long nowNanos) {
+        return tries.size() == 1
+                && RetryRule.mayHedge(
+                        idempotent, head.bodyReplayable(), retriesLeft, deadlineNanos - nowNanos);
     }
 
     boolean isAnsweredOrEnded() {
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -324,7 +324,7 @@
                                 ? DecisionRecord.Kind.ROUTED
                                 : DecisionRecord.Kind.RETRIED;
         decisions.sent(call, kind, chosen.server.id(), candidates, outbox);
-        if (settings.hedging() && pool.isAdaptive() && call.mayBeHedged()) {
+        if (settings.hedging() && pool.isAdaptive() && call.mayBeHedged(nowNanos)) {
             hedges.add(call, nowNanos);
         }
     }
--- a/standin/src/main/java/org/snipeslip/standin/BackendServerStandIn.java
+++ b/standin/src/main/java/org/snipeslip/standin/BackendServerStandIn.java
@@ -38,8 +38,6 @@
     private final Undertow server;
     private Behaviour behaviour = Behaviour.NORMAL;
     private int running;
-    private long served;
-    private int mostWhileCold;
     private int reportedLoad;
     private long reportedAtNanos;
 
@@ -88,24 +86,6 @@
         return behaviour;
     }
 
-    /**
-     * Counts the calls answered with 200.
-     *
-     * @return number of calls
-     */
-    public synchronized long served() {
-        return served;
-    }
-
-    /**
-     * Returns the largest number of calls held at once while cold.
-     *
-     * @return calls in progress and in the queue
-     */
-    public synchronized int mostWhileCold() {
-        return mostWhileCold;
-    }
-
     @Override
     public void handleRequest(HttpServerExchange exchange) throws IOException {
         switch (exchange.getRequestPath()) {
@@ -152,9 +132,6 @@
         } else {
             refuse(exchange);
         }
-        if (behaviour.coldCalls() > 0) {
-            mostWhileCold = Math.max(mostWhileCold, running + queue.size());
-        }
     }
 
     private void refuse(HttpServerExchange exchange) {
@@ -187,7 +164,6 @@
 
     private synchronized void finish(HttpServerExchange exchange) {
         running--;
-        served++;
         if (behaviour.coldCalls() > 0) {
             behaviour = behaviour.withColdCalls(behaviour.coldCalls() - 1);
         }
--- a/standin/src/main/java/org/snipeslip/standin/Behaviour.java
+++ b/standin/src/main/java/org/snipeslip/standin/Behaviour.java
@@ -42,17 +42,6 @@
                 slowFactor, fails, draining, coldCalls, loadLagMillis, connectionsRefused);
     }
 
-    /**
-     * Returns a copy that drains or not.
-     *
-     * @param drains whether it reports that it drains
-     * @return the copy
-     */
-    public Behaviour withDraining(boolean drains) {
-        return new Behaviour(
-                slowFactor, failFast, drains, coldCalls, loadLagMillis, connectionsRefused);
-    }
-
     /**
      * Returns a copy that is cold.
      *
--- a/standin/src/main/java/org/snipeslip/standin/WorkLedger.java
+++ b/standin/src/main/java/org/snipeslip/standin/WorkLedger.java
@@ -16,16 +16,6 @@
         startsByKey.merge(key, 1, Integer::sum);
     }
 
-    /**
-     * Returns the number of starts of a key.
-     *
-     * @param key the idempotency key
-     * @return starts, 0 if none
-     */
-    public int starts(String key) {
-        return startsByKey.getOrDefault(key, 0);
-    }
-
     /**
      * Counts the keys whose work was started.
      *
