--- a/cli/src/main/java/org/snipeslip/cli/CommandLine.java
+++ b/cli/src/main/java/org/snipeslip/cli/CommandLine.java
@@ -19,6 +19,7 @@
                     new DomainCommand(),
                     new ExplainCommand(),
                     new RunCommand(),
+                    new PlatformCommand(),
                     new StandInCommand(),
                     new DemoCommand(),
                     new VersionCommand());
--- /dev/null
+++ b/cli/src/main/java/org/snipeslip/cli/PlatformCommand.java
@@ -0,0 +1,50 @@
+package org.snipeslip.cli;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.snipeslip.platform.BootFault;
+import org.snipeslip.platform.BootFile;
+import org.snipeslip.platform.BootSettings;
+import org.snipeslip.platform.PlatformProcess;
+import org.snipeslip.server.runtime.DiscoveryProcess;
+import org.snipeslip.server.runtime.StopSignals;
+
+/** Runs an entry instance on the users' platform until its planned stop is complete. */
+final class PlatformCommand extends Command {
+    private final OptionSpec<String> file =
+            parser().accepts("settings", "Settings that the platform wrote.")
+                    .withRequiredArg()
+                    .describedAs("FILE")
+                    .defaultsTo(PlatformProcess.settingsPath());
+    private final OptionSpec<Void> check =
+            parser().accepts("check", "Check the settings and exit.");
+
+    PlatformCommand() {
+        super("platform", "[--settings FILE]", "Run an entry instance on the users' platform.");
+    }
+
+    @Override
+    ExitCode run(OptionSet options, Console console) throws IOException, InterruptedException {
+        String path = options.valueOf(file);
+        Either<List<BootFault>, BootSettings> settings =
+                BootFile.read(Files.readString(Path.of(path)));
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(fault -> console.err().println(path + ": " + fault));
+            return ExitCode.BAD_INPUT;
+        }
+        if (options.has(check)) {
+            console.out().println("no fault");
+            return ExitCode.OK;
+        }
+        try (DiscoveryProcess process = PlatformProcess.start(settings.get())) {
+            StopSignals.onTerminate(process::requestStop);
+            process.awaitStop();
+        }
+        return ExitCode.OK;
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/call/CallEnds.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEnds.java
@@ -16,7 +16,13 @@
 
     static Refusal refusal(CallState call, RefusalReason reason, long retryAfterMillis) {
         Outcome outcome = call.mayHaveStarted ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-        return new Refusal(reason, outcome, call.bytesSent, retryAfterMillis, Set.of());
+        RefusalReason said = outcome == Outcome.NOT_RUN ? reason : withoutPromise(reason);
+        return new Refusal(said, outcome, call.bytesSent, retryAfterMillis, Set.of());
+    }
+
+    /** A status that promises "not run" must not answer a call that may have run. */
+    private static RefusalReason withoutPromise(RefusalReason reason) {
+        return reason.promisesNotRun() ? RefusalReason.BACKEND_SERVER_FAILED : reason;
     }
 
     /** A call that waits for its claim may repeat one that ran, so it is not called "not run". */
@@ -51,6 +57,7 @@
     static RefusalReason reasonOf(TryFailure failure) {
         return switch (failure) {
             case REFUSED_NOT_RUN -> RefusalReason.BACKEND_SERVER_REFUSED;
+            case NOT_CONNECTED, NO_CONNECTION_LEFT -> RefusalReason.BACKEND_SERVER_UNREACHABLE;
             case TIMED_OUT -> RefusalReason.DEADLINE_EXCEEDED;
             default -> RefusalReason.BACKEND_SERVER_FAILED;
         };
--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -22,6 +22,7 @@
 import org.snipeslip.core.once.ClaimDecision;
 import org.snipeslip.core.routing.HomeRegions;
 import org.snipeslip.core.routing.RouteTable;
+import org.snipeslip.core.routing.SplitChooser;
 
 /**
  * Takes a call from its arrival to its answer: route, home-region filter, then the shard of the
@@ -36,7 +37,9 @@
     private final MeasurementBudget budget;
     private final OpenCalls openCalls = new OpenCalls();
     private final ConcurrentHashMap<ServiceId, ServiceShard> shards = new ConcurrentHashMap<>();
+    private final SplitChooser splits;
 
+    private volatile FleetShare fleet;
     private volatile View view = new View(ConfigSet.EMPTY, new RouteTable(ConfigSet.EMPTY));
 
     /**
@@ -53,6 +56,8 @@
         this.place = new InstancePlace(region, failureDomain);
         this.random = new SplittableRandom(seed);
         this.budget = new MeasurementBudget(settings.measure());
+        this.splits = new SplitChooser(new SplittableRandom(seed + 1));
+        this.fleet = new FleetShare(settings.instances(), 0);
     }
 
     /**
@@ -77,6 +82,16 @@
                                         && entry.getValue().isIdle());
     }
 
+    /**
+     * Takes the number of instances that share the limits of backend servers and budgets.
+     *
+     * @param share the instances, this one included
+     */
+    public synchronized void fleet(FleetShare share) {
+        fleet = share;
+        shards.values().forEach(shard -> shard.fleet(share));
+    }
+
     /**
      * Takes the decision on a claim of a keyed call.
      *
@@ -169,7 +184,10 @@
     }
 
     private ServiceShard newShard(ServiceId service) {
-        return new ServiceShard(service, settings, place, openCalls, budget, random.split());
+        ServiceShard shard =
+                new ServiceShard(service, settings, place, openCalls, budget, random.split());
+        shard.fleet(fleet);
+        return shard;
     }
 
     private void answered(Event.TryAnswered event, long nowNanos, Outbox outbox) {
@@ -206,7 +224,7 @@
         Route route = matched.get();
         // Before the look at the organisation: its refusal is recorded, which is not allowed here.
         HomeRegions ofRoute = HomeRegions.of(route, null);
-        if (!ofRoute.allows(place.region())) {
+        if (!mayTake(ofRoute)) {
             refuseOutside(arrived.request(), ofRoute.regions(), outbox);
             return;
         }
@@ -223,7 +241,7 @@
             }
         }
         HomeRegions homeRegions = HomeRegions.of(route, organisation);
-        if (!homeRegions.allows(place.region())) {
+        if (!mayTake(homeRegions)) {
             refuseOutside(arrived.request(), homeRegions.regions(), outbox);
             return;
         }
@@ -234,6 +252,10 @@
         submit(arrived, route, organisation, homeRegions, nowNanos, outbox);
     }
 
+    private boolean mayTake(HomeRegions homeRegions) {
+        return settings.relaysFromOutside() || homeRegions.allows(place.region());
+    }
+
     private void submit(
             Event.CallArrived arrived,
             Route route,
@@ -255,11 +277,10 @@
                         homeRegions,
                         organisation == null ? 1 : organisation.weight(),
                         nowNanos + remainingNanos);
+        int retries = (route.maxTries() > 0 ? route.maxTries() : settings.maxTries()) - 1;
         call.retriesLeft =
-                head.retriesLeft() >= 0
-                        ? Math.min(head.retriesLeft(), settings.maxTries() - 1)
-                        : settings.maxTries() - 1;
-        ServiceShard shard = shards.get(route.service());
+                head.retriesLeft() >= 0 ? Math.min(head.retriesLeft(), retries) : retries;
+        ServiceShard shard = shards.get(splits.choose(route));
         if (shard == null) {
             // A newer configuration removed the service meanwhile.
             Refusal refusal = Refusal.notRun(RefusalReason.NO_BACKEND_SERVER);
--- a/core/src/main/java/org/snipeslip/core/call/CallSettings.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallSettings.java
@@ -16,6 +16,10 @@
  * @param queueTargetMillis longest wait of an interactive call in a queue that does not empty
  * @param queueIntervalMillis time after which a queue counts as one that does not empty
  * @param measure budget of probes
+ * @param retryBurst further tries of a service that all instances together may save up; 0 for the
+ *     fixed burst of each instance, full at the start
+ * @param relaysFromOutside whether an instance outside the home regions of a call passes it on to a
+ *     backend server inside them; otherwise it refuses the call
  */
 public record CallSettings(
         int maxTries,
@@ -27,11 +31,24 @@
         boolean hedging,
         long queueTargetMillis,
         long queueIntervalMillis,
-        MeasureSettings measure) {
+        MeasureSettings measure,
+        int retryBurst,
+        boolean relaysFromOutside) {
     /** Defaults. */
     public static final CallSettings DEFAULT =
             new CallSettings(
-                    3, 8, 1_024, 15, PolicyName.ADAPTIVE, 10, true, 5, 10, MeasureSettings.DEFAULT);
+                    3,
+                    8,
+                    1_024,
+                    15,
+                    PolicyName.ADAPTIVE,
+                    10,
+                    true,
+                    5,
+                    10,
+                    MeasureSettings.DEFAULT,
+                    0,
+                    false);
 
     /**
      * Returns these settings with another number of instances.
@@ -50,7 +67,9 @@
                 hedging,
                 queueTargetMillis,
                 queueIntervalMillis,
-                measure);
+                measure,
+                retryBurst,
+                relaysFromOutside);
     }
 
     /**
@@ -70,7 +89,9 @@
                 hedging,
                 queueTargetMillis,
                 queueIntervalMillis,
-                measure);
+                measure,
+                retryBurst,
+                relaysFromOutside);
     }
 
     /**
@@ -90,7 +111,9 @@
                 hedging,
                 queueTargetMillis,
                 queueIntervalMillis,
-                measure);
+                measure,
+                retryBurst,
+                relaysFromOutside);
     }
 
     /**
@@ -110,6 +133,8 @@
                 hedging,
                 queueTargetMillis,
                 queueIntervalMillis,
-                newMeasure);
+                newMeasure,
+                retryBurst,
+                relaysFromOutside);
     }
 }
--- a/core/src/main/java/org/snipeslip/core/call/LoadReport.java
+++ b/core/src/main/java/org/snipeslip/core/call/LoadReport.java
@@ -7,11 +7,24 @@
  * @param slots calls it can work on at once, or -1 if unknown
  * @param draining whether it asks for no new work
  * @param cold whether it says that it is cold
+ * @param slowdown how long work takes there now, relative to the usual 1
  */
-public record LoadReport(int inFlight, int slots, boolean draining, boolean cold) {
+public record LoadReport(int inFlight, int slots, boolean draining, boolean cold, double slowdown) {
     /** No report came with the response. */
     public static final LoadReport UNKNOWN = new LoadReport(-1, -1, false, false);
 
+    /**
+     * Creates a report of a server that works at its usual pace.
+     *
+     * @param inFlight calls it is working on or holds in its queue, or -1 if unknown
+     * @param slots calls it can work on at once, or -1 if unknown
+     * @param draining whether it asks for no new work
+     * @param cold whether it says that it is cold
+     */
+    public LoadReport(int inFlight, int slots, boolean draining, boolean cold) {
+        this(inFlight, slots, draining, cold, 1);
+    }
+
     /**
      * Tells whether the report carries figures.
      *
--- a/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -22,6 +22,8 @@
     BACKEND_SERVER_FAILED(502),
     /** The backend server refused and no other try is allowed. */
     BACKEND_SERVER_REFUSED(503),
+    /** No connection to a backend server could be opened. */
+    BACKEND_SERVER_UNREACHABLE(503),
     /** A call with the same idempotency key is still running. */
     IN_PROGRESS(409),
     /** An earlier call with the same idempotency key may have run. */
@@ -50,6 +52,15 @@
         return status;
     }
 
+    /**
+     * Tells whether callers may read the status as "not run and never will be".
+     *
+     * @return true for 421, 429 and 503
+     */
+    public boolean promisesNotRun() {
+        return status == 421 || status == 429 || status == 503;
+    }
+
     /**
      * Returns the value used in answers and logs.
      *
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -16,7 +16,7 @@
     }
 
     void sent(ServerState state, long nowNanos) {
-        state.load.sent(nowNanos);
+        state.sent(nowNanos);
         if (state.warmUp.isCold()) {
             state.warmUp.sent(pool.warmUpPauseNanos(state, nowNanos), nowNanos);
         }
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -1,5 +1,6 @@
 package org.snipeslip.core.call;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -40,10 +41,14 @@
     /** Removed servers with calls in flight, which count again if the server is added again. */
     private final Map<BackendServerId, ServerState> detached = new HashMap<>();
 
+    /** Earlier starts of servers that started again under their name, with calls in flight. */
+    private final List<ServerState> restarted = new ArrayList<>(0);
+
     private final Candidates eligible = new Candidates();
     private final ServerState[] excluded = new ServerState[MAX_EXCLUDED];
     private final Exclusion[] exclusions = new Exclusion[MAX_EXCLUDED];
 
+    private FleetShare fleet;
     private ServerState[] byDistance = new ServerState[0];
     private ServerState[] eligibleStates = new ServerState[0];
     private final int[] tierStart = new int[Distance.values().length + 1];
@@ -57,6 +62,15 @@
         this.random = random;
         this.policy = SelectionPolicy.of(settings.policy());
         this.adaptive = settings.policy().isAdaptive();
+        this.fleet = new FleetShare(settings.instances(), 0);
+    }
+
+    /** Takes the number of instances; the limits that depend on it follow. */
+    void fleet(FleetShare newFleet) {
+        fleet = newFleet;
+        for (ServerState state : byDistance) {
+            state.fleet(newFleet);
+        }
     }
 
     /**
@@ -71,16 +85,21 @@
         for (BackendServer server : servers) {
             FailureDomain domain = config.failureDomains().get(server.failureDomain());
             ServerState known = before.remove(server.id());
+            if (known != null && known.server.incarnation() != server.incarnation()) {
+                detachRestarted(known);
+                known = null;
+            }
             boolean wasInService = known != null && known.isInService();
             if (known == null) {
                 known = detached.remove(server.id());
             }
             ServerState state = known == null ? new ServerState(serviceLoad) : known;
-            state.configure(server, domain, place.distanceTo(domain), settings.instances());
+            state.configure(server, domain, place.distanceTo(domain), fleet);
             if (known == null && firstConfig) {
                 state.warmUp.startProbablyWarm();
             } else if (!wasInService && state.isInService()) {
                 state.warmUp.startCold(warmUpPauseNanos(state, nowNanos), nowNanos);
+                state.startCold(nowNanos);
             }
             byId.put(server.id(), state);
         }
@@ -99,6 +118,14 @@
         }
     }
 
+    /** Keeps the calls in flight of a server that started again under its name. */
+    private void detachRestarted(ServerState old) {
+        if (old.load.inFlight() > 0) {
+            restarted.removeIf(state -> state.load.inFlight() == 0);
+            restarted.add(old);
+        }
+    }
+
     /**
      * Chooses a server for the next try of a call; its candidates stay until the next choice.
      *
@@ -158,6 +185,9 @@
         for (ServerState state : detached.values()) {
             sum += state.load.inFlight();
         }
+        for (ServerState state : restarted) {
+            sum += state.load.inFlight();
+        }
         return sum;
     }
 
@@ -183,7 +213,7 @@
      * busy and each of these calls would be slow.
      */
     long warmUpPauseNanos(ServerState state, long nowNanos) {
-        double mean = 2.0 * settings.instances() * state.load.latencyNanos(nowNanos);
+        double mean = 2.0 * fleet.instances() * state.load.latencyNanos(nowNanos);
         return (long) (random.nextDouble() * mean);
     }
 
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -4,10 +4,12 @@
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.CallClass;
 import org.snipeslip.core.config.FailureDomain;
+import org.snipeslip.core.config.WarmUpPlan;
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.load.Distance;
 import org.snipeslip.core.load.ServerLoad;
 import org.snipeslip.core.load.ServiceLoad;
+import org.snipeslip.core.warmup.ColdRate;
 import org.snipeslip.core.warmup.WarmUp;
 
 /** What one instance knows of one backend server. Guarded by the lock of its shard. */
@@ -34,7 +36,10 @@
     boolean coldReported;
 
     private final ServiceLoad service;
+    private final ColdRate coldRate = new ColdRate();
     private int connectionShare;
+    private int coldShare;
+    private long coldUntilNanos = WarmUpPlan.WARM;
 
     ServerState(ServiceLoad service) {
         this.service = service;
@@ -42,13 +47,27 @@
     }
 
     void configure(
-            BackendServer newServer, FailureDomain domain, Distance distance, int instances) {
+            BackendServer newServer, FailureDomain domain, Distance distance, FleetShare fleet) {
         server = newServer;
+        coldUntilNanos = Math.max(coldUntilNanos, newServer.warmUp().coldUntilNanos());
+
         region = domain.region();
         failureDomainInService = domain.inService();
         load.configure(distance, newServer.slots());
-        limit.configure(newServer.slots(), newServer.connectionLimit(), instances);
-        connectionShare = ConcurrencyLimit.connectionShare(newServer.connectionLimit(), instances);
+        fleet(fleet);
+    }
+
+    /** Takes the instances that share the limits of this server. */
+    void fleet(FleetShare fleet) {
+        int instances = fleet.instances();
+        limit.configure(server.slots(), server.connectionLimit(), instances);
+        connectionShare = ConcurrencyLimit.connectionShare(server.connectionLimit(), instances);
+        coldShare =
+                ColdRate.share(
+                        server.warmUp().callsPerSecond(),
+                        instances,
+                        fleet.ownIndex(),
+                        server.id().value().hashCode());
     }
 
     boolean isDraining() {
@@ -59,12 +78,34 @@
         return failureDomainInService && !isDraining();
     }
 
+    /** Takes the return of a server that may have gone cold while it got no calls. */
+    void startCold(long nowNanos) {
+        if (server.warmUp().durationNanos() > 0) {
+            coldUntilNanos = Math.max(coldUntilNanos, nowNanos + server.warmUp().durationNanos());
+        }
+    }
+
+    /** Notes a call that is sent. */
+    void sent(long nowNanos) {
+        load.sent(nowNanos);
+        if (isColdByPlan(nowNanos)) {
+            coldRate.sent(nowNanos);
+        }
+    }
+
+    private boolean isColdByPlan(long nowNanos) {
+        return server.warmUp().callsPerSecond() > 0 && nowNanos < coldUntilNanos;
+    }
+
     /** Calls that may be in flight now; with a baseline policy only the connections limit them. */
     int limitNow(boolean adaptive, long nowNanos) {
         return adaptive ? Math.min(limit.limit(), warmUp.limit(nowNanos)) : connectionShare;
     }
 
     boolean hasRoom(boolean adaptive, CallClass callClass, long nowNanos) {
+        if (isColdByPlan(nowNanos) && !coldRate.allows(coldShare, nowNanos)) {
+            return false;
+        }
         return load.inFlight() < limitNow(adaptive, nowNanos)
                 && !(adaptive && isFullByReport(callClass, nowNanos));
     }
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -16,8 +16,6 @@
 import org.snipeslip.core.measure.MeasurementBudget;
 import org.snipeslip.core.once.ClaimDecision;
 import org.snipeslip.core.once.ClaimRequest;
-import org.snipeslip.core.retry.RetryBudget;
-import org.snipeslip.core.retry.RetryRule;
 
 /**
  * The calls and backend servers of one service. Every method takes the shard's own lock, which is
@@ -34,7 +32,7 @@
     private final ServerFeedback feedback;
     private final ShardQueue queue;
     private final HedgeQueue hedges = new HedgeQueue();
-    private final RetryBudget retries;
+    private final ShardRetries retries;
     private final ShardProbes probes;
     private final ShardTimer timer;
     private final Decisions decisions;
@@ -53,7 +51,7 @@
         this.pool = new ServerPool(settings, place, random);
         this.feedback = new ServerFeedback(pool);
         this.queue = new ShardQueue(settings, pool.serviceLoad(), random);
-        this.retries = new RetryBudget(settings.retryPercent());
+        this.retries = new ShardRetries(settings);
         this.probes = new ShardProbes(service, pool, settings.measure(), budget);
         this.timer = new ShardTimer(service);
         this.decisions = new Decisions(service);
@@ -71,6 +69,11 @@
         settle(nowNanos, outbox);
     }
 
+    synchronized void fleet(FleetShare share) {
+        pool.fleet(share);
+        retries.fleet(share);
+    }
+
     synchronized boolean isIdle() {
         return calls.isEmpty();
     }
@@ -160,8 +163,10 @@
         each.release();
         feedback.failed(each, failure, load, nowNanos);
         call.mayHaveStarted |= failure.mayHaveStarted();
-        call.bytesSent |=
-                failure != TryFailure.NOT_CONNECTED && failure != TryFailure.NO_CONNECTION_LEFT;
+        call.bytesSent |= failure.mayHaveSent();
+        if (!failure.mayHaveSent()) {
+            call.retriesLeft++;
+        }
         call.lastFailure = failure;
         if (call.winner != null) {
             end(call);
@@ -265,39 +270,20 @@
     }
 
     private void tryAgain(CallState call, long nowNanos, Outbox outbox) {
-        TryFailure failure = call.lastFailure;
-        boolean allowed =
-                RetryRule.mayRetry(
-                                call.idempotent,
-                                call.mayHaveStarted,
-                                call.head.bodyReplayable(),
-                                call.bytesSent,
-                                Math.min(call.retriesLeft, settings.maxTries() - call.tries.size()),
-                                call.deadlineNanos - nowNanos)
-                        && failure != TryFailure.REQUEST_BODY_BROKEN
-                        && retries.take();
-        if (allowed) {
+        if (retries.takeRetry(call, nowNanos)) {
             call.retriesLeft--;
             admit(call, nowNanos, outbox);
         } else {
-            refuse(call, CallEnds.reasonOf(failure), outbox);
+            refuse(call, CallEnds.reasonOf(call.lastFailure), outbox);
         }
     }
 
     private void hedge(CallState call, long nowNanos, Outbox outbox) {
-        boolean allowed =
-                call.openTries() == 1
-                        && queue.isEmpty()
-                        && RetryRule.mayHedge(
-                                call.idempotent,
-                                call.head.bodyReplayable(),
-                                Math.min(call.retriesLeft, settings.maxTries() - call.tries.size()),
-                                call.deadlineNanos - nowNanos);
-        if (!allowed) {
+        if (!queue.isEmpty() || !retries.mayHedge(call, nowNanos)) {
             return;
         }
         ServerState chosen = pool.choose(call, nowNanos);
-        if (chosen != null && chosen.load.hasFreeSlot(nowNanos) && retries.take()) {
+        if (chosen != null && chosen.load.hasFreeSlot(nowNanos) && retries.takeHedge()) {
             call.retriesLeft--;
             send(call, chosen, true, nowNanos, outbox);
         }
--- a/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
@@ -38,10 +38,7 @@
     }
 
     void configure(ConfigSet config, long nowNanos) {
-        routes =
-                config.routes().values().stream()
-                        .filter(route -> route.service().equals(service))
-                        .toList();
+        routes = config.routes().values().stream().filter(route -> route.sendsTo(service)).toList();
         boolean needed = settings.isEnabled() && pool.all().length > 0;
         nextNanos = needed ? nowNanos + PERIOD_NANOS : ShardTimer.NEVER;
     }
--- a/core/src/main/java/org/snipeslip/core/call/TryFailure.java
+++ b/core/src/main/java/org/snipeslip/core/call/TryFailure.java
@@ -27,6 +27,15 @@
         this.mayHaveStarted = mayHaveStarted;
     }
 
+    /**
+     * Tells whether any byte of the request may have reached the backend server.
+     *
+     * @return false if there was no connection
+     */
+    public boolean mayHaveSent() {
+        return this != NOT_CONNECTED && this != NO_CONNECTION_LEFT;
+    }
+
     /**
      * Tells whether the backend server may have begun the work.
      *
--- a/core/src/main/java/org/snipeslip/core/config/ReferenceCheck.java
+++ b/core/src/main/java/org/snipeslip/core/config/ReferenceCheck.java
@@ -52,6 +52,11 @@
         if (!set.services().containsKey(route.service())) {
             dangling(at, "service", ObjectKind.SERVICE, route.service().value());
         }
+        for (ServiceShare share : route.split()) {
+            if (!set.services().containsKey(share.service())) {
+                dangling(at, "split", ObjectKind.SERVICE, share.service().value());
+            }
+        }
         regions(at, "homeRegions", route.homeRegions());
     }
 
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/config/ServiceShare.java
@@ -0,0 +1,11 @@
+package org.snipeslip.core.config;
+
+import org.snipeslip.core.id.ServiceId;
+
+/**
+ * One part of a route whose calls are split between services.
+ *
+ * @param service the service
+ * @param weight its share of the calls, relative to the other parts; at least 0
+ */
+public record ServiceShare(ServiceId service, int weight) {}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/discovery/FleetCall.java
@@ -0,0 +1,36 @@
+package org.snipeslip.core.discovery;
+
+/** A call to the store that holds the fleet's objects. */
+public sealed interface FleetCall {
+    /** Returns the kind of objects the call is about. */
+    FleetKind kind();
+
+    /**
+     * Reads the objects of a kind, page by page.
+     *
+     * @param kind the kind
+     * @param after name after which the page starts; empty for the first page
+     */
+    record ListPage(FleetKind kind, String after) implements FleetCall {}
+
+    /**
+     * Waits for changes.
+     *
+     * @param kind the kind
+     * @param revision revision after which changes are wanted
+     * @param waitMillis longest wait for a change
+     */
+    record Watch(FleetKind kind, long revision, long waitMillis) implements FleetCall {}
+
+    /**
+     * Creates the object of this instance unless it exists.
+     *
+     * @param name its name
+     */
+    record Register(String name) implements FleetCall {
+        @Override
+        public FleetKind kind() {
+            return FleetKind.INSTANCES;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
@@ -0,0 +1,215 @@
+package org.snipeslip.core.discovery;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Keeps a copy of the objects of one kind: a list in pages, then watches from the revision of its
+ * first page. A failed call is made again after a pause that doubles, with jitter; lost history
+ * leads to a new list. Each answer and each due time leads to at most one next call.
+ */
+final class ObjectFollower {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final int MAX_DOUBLINGS = 10;
+
+    private final FleetKind kind;
+    private final FollowSettings settings;
+    private final StoreOutage outage;
+    private final RandomGenerator random;
+    private final Map<String, FleetObject> objects = new HashMap<>();
+
+    /** Ends of the grace of objects that vanished in an outage. */
+    private final Map<String, Long> vanished = new HashMap<>();
+
+    private final Map<String, FleetObject> listed = new HashMap<>();
+    private boolean listing = true;
+    private String listedUpTo = "";
+    private long listRevision = -1;
+    private long revision = -1;
+    private int failures;
+    private FleetCall pending;
+    private long dueNanos = NEVER;
+
+    ObjectFollower(
+            FleetKind kind, FollowSettings settings, StoreOutage outage, RandomGenerator random) {
+        this.kind = kind;
+        this.settings = settings;
+        this.outage = outage;
+        this.random = random;
+    }
+
+    FleetKind kind() {
+        return kind;
+    }
+
+    Map<String, FleetObject> objects() {
+        return objects;
+    }
+
+    /** Tells whether the kind was read whole at least once. */
+    boolean isComplete() {
+        return revision >= 0;
+    }
+
+    FleetCall start() {
+        return call(nextCall());
+    }
+
+    /** Returns when {@link #timerFired} is due, or {@link Long#MAX_VALUE}. */
+    long dueNanos() {
+        long due = dueNanos;
+        for (long end : vanished.values()) {
+            due = Math.min(due, end);
+        }
+        return due;
+    }
+
+    /** Returns the call that is due, or null. */
+    FleetCall timerFired(long nowNanos) {
+        if (nowNanos < dueNanos) {
+            return null;
+        }
+        dueNanos = NEVER;
+        return call(nextCall());
+    }
+
+    /** Removes vanished objects whose grace is over; returns whether there were any. */
+    boolean removeVanished(long nowNanos) {
+        boolean changed = false;
+        for (Map.Entry<String, Long> entry : List.copyOf(vanished.entrySet())) {
+            if (nowNanos >= entry.getValue()) {
+                vanished.remove(entry.getKey());
+                changed |= objects.remove(entry.getKey()) != null;
+            }
+        }
+        return changed;
+    }
+
+    /** Tells whether an answer belongs to the call that is pending. */
+    boolean awaits(FleetCall call) {
+        return call.equals(pending);
+    }
+
+    /** Takes the answer to the pending call; returns whether the objects changed. */
+    boolean answered(FleetAnswer answer, long nowNanos) {
+        pending = null;
+        return switch (answer) {
+            case FleetAnswer.Failed failed -> {
+                outage.failed(nowNanos);
+                failures++;
+                dueNanos = nowNanos + pauseNanos();
+                yield false;
+            }
+            case FleetAnswer.Page page -> {
+                succeeded(nowNanos);
+                yield takePage(page, nowNanos);
+            }
+            case FleetAnswer.Changes changes -> {
+                succeeded(nowNanos);
+                boolean changed = false;
+                for (FleetObject object : changes.objects()) {
+                    changed |= apply(object, nowNanos);
+                }
+                revision = Math.max(revision, changes.revision());
+                // Each call is billed; changes that come in a row are read by one watch.
+                boolean wait = !changes.objects().isEmpty();
+                dueNanos = nowNanos + (wait ? settings.batchMillis() * NANOS_PER_MILLI : 0);
+                yield changed;
+            }
+            case FleetAnswer.HistoryGone gone -> {
+                succeeded(nowNanos);
+                restartList();
+                dueNanos = nowNanos;
+                yield false;
+            }
+            case FleetAnswer.Registered registered -> false;
+        };
+    }
+
+    private void succeeded(long nowNanos) {
+        failures = 0;
+        outage.succeeded(nowNanos);
+    }
+
+    private boolean takePage(FleetAnswer.Page page, long nowNanos) {
+        dueNanos = nowNanos;
+        if (listRevision < 0) {
+            // The watch starts here, so changes between the pages are not missed.
+            listRevision = page.revision();
+        }
+        for (FleetObject object : page.objects()) {
+            listed.put(object.name(), object);
+            listedUpTo = object.name();
+        }
+        if (page.more() && !page.objects().isEmpty()) {
+            return false;
+        }
+        boolean changed = !isComplete();
+        for (FleetObject object : listed.values()) {
+            changed |= apply(object, nowNanos);
+        }
+        for (String name : List.copyOf(objects.keySet())) {
+            if (!listed.containsKey(name)) {
+                changed |= remove(name, nowNanos);
+            }
+        }
+        revision = Math.max(revision, listRevision);
+        restartList();
+        listing = false;
+        return changed;
+    }
+
+    private void restartList() {
+        listing = true;
+        listed.clear();
+        listedUpTo = "";
+        listRevision = -1;
+    }
+
+    private boolean apply(FleetObject object, long nowNanos) {
+        FleetObject known = objects.get(object.name());
+        if (known != null && known.revision() > object.revision()) {
+            return false;
+        }
+        if (object.deleted()) {
+            return remove(object.name(), nowNanos);
+        }
+        vanished.remove(object.name());
+        objects.put(object.name(), object);
+        return known == null || known.revision() != object.revision();
+    }
+
+    private boolean remove(String name, long nowNanos) {
+        if (!objects.containsKey(name) || vanished.containsKey(name)) {
+            return false;
+        }
+        long keepUntilNanos = outage.keepUntilNanos(nowNanos);
+        if (kind == FleetKind.SERVERS && keepUntilNanos > nowNanos) {
+            vanished.put(name, keepUntilNanos);
+            return false;
+        }
+        return objects.remove(name) != null;
+    }
+
+    private long pauseNanos() {
+        long most =
+                Math.min(
+                        settings.maxPauseMillis(),
+                        settings.minPauseMillis() << Math.min(failures - 1, MAX_DOUBLINGS));
+        return (most / 2 + random.nextLong(most / 2 + 1)) * NANOS_PER_MILLI;
+    }
+
+    private FleetCall nextCall() {
+        return listing
+                ? new FleetCall.ListPage(kind, listedUpTo)
+                : new FleetCall.Watch(kind, revision, settings.watchMillis());
+    }
+
+    private FleetCall call(FleetCall next) {
+        pending = next;
+        return next;
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -4,6 +4,7 @@
 import org.snipeslip.core.call.Refusal;
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.discovery.FleetCall;
 import org.snipeslip.core.id.InstanceId;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.ServiceId;
@@ -117,4 +118,11 @@
      * @param openCalls calls still open when the time limit was reached
      */
     record FinishStop(int openCalls) implements Action {}
+
+    /**
+     * Call the store that holds the fleet's objects; {@link Event.FleetAnswered} follows.
+     *
+     * @param call the call
+     */
+    record CallFleet(FleetCall call) implements Action {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Event.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Event.java
@@ -3,6 +3,8 @@
 import org.snipeslip.core.call.CallHead;
 import org.snipeslip.core.call.LoadReport;
 import org.snipeslip.core.call.TryFailure;
+import org.snipeslip.core.discovery.FleetAnswer;
+import org.snipeslip.core.discovery.FleetCall;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.InstanceId;
 import org.snipeslip.core.id.RequestId;
@@ -103,4 +105,12 @@
 
     /** The platform or an operator asked for a planned stop. */
     record StopRequested() implements Event {}
+
+    /**
+     * A call to the store that holds the fleet's objects ended.
+     *
+     * @param call the call
+     * @param answer its answer
+     */
+    record FleetAnswered(FleetCall call, FleetAnswer answer) implements Event {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -19,7 +19,7 @@
  * does no I/O. Several threads may call it; driven by one thread it is deterministic for a seed.
  * Each engine locks its own tables; values pass between engines here, with no lock held.
  */
-public final class Instance {
+public final class Instance implements StateMachine {
     private final CallEngine calls;
     private final ControlEngine control;
     private final OnceEngine once;
@@ -57,6 +57,7 @@
      * @param nowNanos the time, from a clock that never goes back
      * @return the actions to carry out, in order
      */
+    @Override
     public List<Action> handle(Event event, long nowNanos) {
         Outbox outbox = new Outbox();
         if (event instanceof Event.StoreAnswered answered) {
@@ -129,6 +130,9 @@
             case Event.PeerReceived e when e.message() instanceof ClaimMessage ->
                     once.handle(e, nowNanos, outbox);
             case Event.PeerReceived e -> control.handle(e, nowNanos, outbox);
+            case Event.FleetAnswered e -> {
+                // Belongs to instances whose servers are discovered.
+            }
             case Event.StopRequested e -> {
                 stop.request(outbox);
                 control.handle(e, nowNanos, outbox);
--- a/core/src/main/java/org/snipeslip/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/snipeslip/core/retry/RetryBudget.java
@@ -9,7 +9,8 @@
     public static final int BURST = 10;
 
     private final double perCall;
-    private double tokens = BURST;
+    private double burst = BURST;
+    private double tokens;
 
     /**
      * Creates a full budget.
@@ -17,12 +18,34 @@
      * @param percent further tries per hundred calls
      */
     public RetryBudget(int percent) {
+        this(percent, BURST);
+    }
+
+    /**
+     * Creates a budget. One that starts empty bounds the sum over processes that restart.
+     *
+     * @param percent further tries per hundred calls
+     * @param initialTokens tokens at the start
+     */
+    public RetryBudget(int percent, double initialTokens) {
         this.perCall = percent / 100.0;
+        this.tokens = initialTokens;
+    }
+
+    /**
+     * Bounds the tokens that may be saved. In any span, the tokens taken are at most those earned
+     * in it and this bound, so the bounds of all instances add up to the slack of their sum.
+     *
+     * @param newBurst tokens at most
+     */
+    public void bound(double newBurst) {
+        burst = newBurst;
+        tokens = Math.min(tokens, burst);
     }
 
     /** Counts a call. */
     public void earn() {
-        tokens = Math.min(BURST, tokens + perCall);
+        tokens = Math.min(burst, tokens + perCall);
     }
 
     /**
--- a/server/src/main/java/org/snipeslip/server/http/BackendConnections.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendConnections.java
@@ -9,10 +9,12 @@
 import java.net.URI;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.config.BackendServer;
 import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /**
@@ -22,6 +24,13 @@
  */
 public final class BackendConnections implements AutoCloseable {
     private static final int MAX_HEADER_BYTES = 64 * 1024;
+
+    /**
+     * Ten round trips to another region; a server without power or behind a partition answers
+     * nothing at all.
+     */
+    private static final long CONNECT_TIMEOUT_MILLIS = 250;
+
     private static final OptionMap OPTIONS =
             OptionMap.create(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES);
 
@@ -101,21 +110,21 @@
     }
 
     /** Gives back a connection whose request and response are both complete. */
-    void giveBack(BackendServer server, ClientConnection connection) {
+    void giveBack(BackendServer server, ClientConnection connection, long usableNanos) {
         // The pool gets the connection one task later, after the client has read what may follow
         // the response in the same packet. Such bytes make it close the connection.
         try {
-            connection.getIoThread().execute(() -> keep(server, connection));
+            connection.getIoThread().execute(() -> keep(server, connection, usableNanos));
         } catch (RejectedExecutionException e) {
             ServerConnections.closeNow(connection);
         }
     }
 
-    private void keep(BackendServer server, ClientConnection connection) {
-        if (closed || !connection.isOpen()) {
+    private void keep(BackendServer server, ClientConnection connection, long usableNanos) {
+        if (closed || !connection.isOpen() || usableNanos <= 0) {
             ServerConnections.closeNow(connection);
         } else {
-            connectionsOf(server).offerIdle(connection);
+            connectionsOf(server).offerIdle(connection, usableNanos);
         }
     }
 
@@ -151,24 +160,65 @@
             XnioIoThread ioThread,
             Listener listener) {
         openConnections.increment();
-        ClientCallback<ClientConnection> callback =
-                new ClientCallback<>() {
-                    @Override
-                    public void completed(ClientConnection result) {
-                        result.addCloseListener(closedOne -> release(connections));
-                        listener.connected(result);
-                    }
-
-                    @Override
-                    public void failed(IOException e) {
-                        release(connections);
-                        listener.failed(TryFailure.NOT_CONNECTED);
-                    }
-                };
+        ConnectAttempt callback = new ConnectAttempt(server, connections, ioThread, listener);
         URI uri = URI.create("http://" + authority(server));
         UndertowClient.getInstance().connect(callback, uri, ioThread, buffers, OPTIONS);
     }
 
+    /** One attempt to connect, which ends for its listener at a time limit. */
+    private final class ConnectAttempt implements ClientCallback<ClientConnection> {
+        private final BackendServer server;
+        private final ServerConnections connections;
+        private final Listener listener;
+        private final XnioExecutor.Key timeout;
+        private boolean ended;
+
+        ConnectAttempt(
+                BackendServer server,
+                ServerConnections connections,
+                XnioIoThread ioThread,
+                Listener listener) {
+            this.server = server;
+            this.connections = connections;
+            this.listener = listener;
+            this.timeout =
+                    ioThread.executeAfter(
+                            this::timeUp, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void completed(ClientConnection result) {
+            timeout.remove();
+            result.addCloseListener(closedOne -> release(connections));
+            if (end()) {
+                listener.connected(result);
+            } else {
+                keep(server, result, TimeUnit.MILLISECONDS.toNanos(CONNECT_TIMEOUT_MILLIS));
+            }
+        }
+
+        @Override
+        public void failed(IOException e) {
+            timeout.remove();
+            release(connections);
+            if (end()) {
+                listener.failed(TryFailure.NOT_CONNECTED);
+            }
+        }
+
+        private void timeUp() {
+            if (end()) {
+                listener.failed(TryFailure.NOT_CONNECTED);
+            }
+        }
+
+        private boolean end() {
+            boolean first = !ended;
+            ended = true;
+            return first;
+        }
+    }
+
     private void release(ServerConnections connections) {
         openConnections.decrement();
         connections.release();
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -5,6 +5,7 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.snipeslip.core.call.LoadReport;
@@ -20,7 +21,8 @@
  */
 final class BackendTry {
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int MISDIRECTED = 421;
+    private static final int FIRST_ERROR_STATUS = 400;
 
     private final Action.SendTry order;
     private final CallRelay relay;
@@ -34,6 +36,7 @@
     private boolean headArrived;
     private boolean ended;
     private long sentNanos;
+    private long usableNanos;
 
     BackendTry(Action.SendTry order, CallRelay relay, BackendConnections connections) {
         this.order = order;
@@ -95,7 +98,7 @@
     /** Gives the connection back once the response was read whole, if the request was sent. */
     void responseRead() {
         if (!ended && requestComplete) {
-            connections.giveBack(order.target(), connection);
+            connections.giveBack(order.target(), connection, usableNanos);
             connection = null;
         }
     }
@@ -142,7 +145,10 @@
 
     private void send(ClientConnection open) {
         if (ended) {
-            connections.giveBack(order.target(), open);
+            connections.giveBack(
+                    order.target(),
+                    open,
+                    TimeUnit.MILLISECONDS.toNanos(relay.dialect().defaultIdleMillis()));
             return;
         }
         connection = open;
@@ -225,16 +231,41 @@
             return;
         }
         HeaderMap headers = response.getResponseHeaders();
-        LoadReport load = LoadHeader.parse(headers.getFirst(SnipeslipHeaders.LOAD));
+        HttpDialect dialect = relay.dialect();
+        LoadReport load = dialect.loadReader().apply(headers.getFirst(dialect.load()));
         int status = response.getResponseCode();
-        if (status == SERVICE_UNAVAILABLE && headers.contains(SnipeslipHeaders.NOT_RUN)) {
-            fail(TryFailure.REFUSED_NOT_RUN, load);
+        if (!isOwnAnswer(headers)) {
+            // An answer to an earlier request came late; that to this one can no longer be told.
+            fail(TryFailure.MALFORMED, LoadReport.UNKNOWN);
+            return;
+        }
+        if (isNotRun(status, headers)) {
+            refused(result, load);
             return;
         }
+        usableNanos = KeepAlive.usableNanos(headers, dialect.defaultIdleMillis());
         headArrived = true;
         relay.report(new Event.TryAnswered(order.tryId(), status, load));
     }
 
+    private boolean isOwnAnswer(HeaderMap headers) {
+        HttpString name = relay.dialect().requestId();
+        String sent = relay.exchange().getRequestHeaders().getFirst(name);
+        return !relay.dialect().callerNamesCall()
+                || sent == null
+                || sent.equals(headers.getFirst(name));
+    }
+
+    private boolean isNotRun(int status, HeaderMap headers) {
+        HttpDialect dialect = relay.dialect();
+        return status >= FIRST_ERROR_STATUS && headers.contains(dialect.notRun())
+                || status == MISDIRECTED && dialect.expectedServer() != null;
+    }
+
+    private void refused(ClientExchange result, LoadReport load) {
+        fail(TryFailure.REFUSED_NOT_RUN, load);
+    }
+
     private void fail(TryFailure failure, LoadReport load) {
         if (end()) {
             ServerConnections.closeNow(connection);
--- a/server/src/main/java/org/snipeslip/server/http/CallEvents.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallEvents.java
@@ -14,6 +14,14 @@
      */
     void begin(RequestId request, CallRelay relay, Event.CallArrived arrived);
 
+    /**
+     * Tells whether a call of this name is open.
+     *
+     * @param request names the call
+     * @return true from its begin until it is forgotten
+     */
+    boolean isOpen(RequestId request);
+
     /**
      * Takes an event that happened now.
      *
--- a/server/src/main/java/org/snipeslip/server/http/CallHandler.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHandler.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.snipeslip.core.call.CallHead;
 import org.snipeslip.core.call.Outcome;
 import org.snipeslip.core.id.RequestId;
@@ -15,7 +16,7 @@
 public final class CallHandler implements HttpHandler {
     private final CallShell shell;
     private final CallerConnections callers;
-    private final CallLimits limits;
+    private final Supplier<CallLimits> limits;
     private final RequestCheck check;
     private final KeptBodies keptBodies;
     private final String requestIdPrefix;
@@ -28,7 +29,8 @@
      * @param connections connections to backend servers
      * @param callers connections of callers
      * @param metrics counts calls
-     * @param limits bounds on requests
+     * @param limits bounds on requests, read for each request
+     * @param dialect header fields of calls
      * @param requestIdPrefix makes request ids unique across instances and restarts
      */
     public CallHandler(
@@ -36,20 +38,21 @@
             BackendConnections connections,
             CallerConnections callers,
             ServerMetrics metrics,
-            CallLimits limits,
+            Supplier<CallLimits> limits,
+            HttpDialect dialect,
             String requestIdPrefix) {
-        this.shell = new CallShell(events, connections, metrics, callers);
+        this.shell = new CallShell(events, connections, metrics, callers, dialect);
         this.callers = callers;
         this.limits = limits;
-        this.check = new RequestCheck(limits);
-        this.keptBodies = new KeptBodies(limits);
+        this.check = new RequestCheck(limits, dialect);
+        this.keptBodies = new KeptBodies(limits.get());
         this.requestIdPrefix = requestIdPrefix + "-";
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         CallerConnections.State caller = callers.begin(exchange);
-        RequestId request = nextRequestId();
+        RequestId request = requestId(exchange);
         RequestFault fault = check.check(exchange);
         if (fault == null) {
             exchange.dispatch(SameThreadExecutor.INSTANCE, () -> begin(exchange, request, caller));
@@ -60,8 +63,8 @@
 
     private void begin(
             HttpServerExchange exchange, RequestId request, CallerConnections.State caller) {
-        RequestBody body = new RequestBody(exchange, keptBodies, limits.maxBodyBytes());
-        CallHead head = CallHeads.of(exchange, body.isReplayable());
+        RequestBody body = new RequestBody(exchange, keptBodies, limits.get().maxBodyBytes());
+        CallHead head = CallHeads.of(exchange, shell.dialect(), body.isReplayable());
         CallRelay relay = new CallRelay(request, exchange, head.depth(), body, shell);
         shell.metrics().arrived();
         relay.begin(caller);
@@ -76,6 +79,21 @@
         ProblemJson.send(exchange, request, fault, Outcome.NOT_RUN);
     }
 
+    /** Calls with one id at the same time are told apart; the id of the caller stays in front. */
+    private RequestId requestId(HttpServerExchange exchange) {
+        String named =
+                shell.dialect().callerNamesCall()
+                        ? exchange.getRequestHeaders().getFirst(shell.dialect().requestId())
+                        : null;
+        if (named == null || named.isBlank()) {
+            return nextRequestId();
+        }
+        RequestId request = new RequestId(named);
+        return shell.events().isOpen(request)
+                ? new RequestId(named + "/" + nextRequestId().value())
+                : request;
+    }
+
     private RequestId nextRequestId() {
         long number = nextRequest.incrementAndGet();
         return new RequestId(requestIdPrefix + Long.toString(number, Character.MAX_RADIX));
--- a/server/src/main/java/org/snipeslip/server/http/CallHeads.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHeads.java
@@ -19,10 +19,11 @@
 
     private CallHeads() {}
 
-    static CallHead of(HttpServerExchange exchange, boolean bodyReplayable) {
+    static CallHead of(HttpServerExchange exchange, HttpDialect dialect, boolean bodyReplayable) {
         HeaderMap headers = exchange.getRequestHeaders();
-        String organisation = text(headers, SnipeslipHeaders.ORGANISATION);
-        String key = text(headers, SnipeslipHeaders.IDEMPOTENCY_KEY);
+        boolean tree = dialect.carriesCallTree();
+        String organisation = tree ? text(headers, SnipeslipHeaders.ORGANISATION) : null;
+        String key = tree ? text(headers, SnipeslipHeaders.IDEMPOTENCY_KEY) : null;
         String method = exchange.getRequestMethod().toString();
         String path = RequestTarget.path(exchange);
         return new CallHead(
@@ -32,9 +33,9 @@
                 organisation == null ? null : new OrganisationId(organisation),
                 key == null ? null : new IdempotencyKey(key),
                 key == null ? "" : fingerprint(exchange, method, path),
-                number(headers, SnipeslipHeaders.DEADLINE_MILLIS, 0) * NANOS_PER_MILLI,
-                (int) number(headers, SnipeslipHeaders.DEPTH, 0),
-                (int) number(headers, SnipeslipHeaders.RETRIES_LEFT, -1),
+                number(headers, dialect.deadlineMillis(), 0) * NANOS_PER_MILLI,
+                tree ? (int) number(headers, SnipeslipHeaders.DEPTH, 0) : 0,
+                tree ? (int) number(headers, SnipeslipHeaders.RETRIES_LEFT, -1) : -1,
                 bodyReplayable);
     }
 
--- a/server/src/main/java/org/snipeslip/server/http/CallRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallRelay.java
@@ -78,6 +78,10 @@
         return exchange;
     }
 
+    HttpDialect dialect() {
+        return shell.dialect();
+    }
+
     RequestBody body() {
         return body;
     }
@@ -176,7 +180,7 @@
         } else {
             shell.metrics().refused(refusal.reason().text());
             finishHead();
-            ProblemJson.send(exchange, request, refusal);
+            ProblemJson.send(exchange, request, refusal, shell.dialect());
         }
     }
 
--- a/server/src/main/java/org/snipeslip/server/http/CallShell.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallShell.java
@@ -11,16 +11,23 @@
     private final BackendConnections connections;
     private final ServerMetrics metrics;
     private final CallerConnections callers;
+    private final HttpDialect dialect;
 
     CallShell(
             CallEvents events,
             BackendConnections connections,
             ServerMetrics metrics,
-            CallerConnections callers) {
+            CallerConnections callers,
+            HttpDialect dialect) {
         this.events = events;
         this.connections = connections;
         this.metrics = metrics;
         this.callers = callers;
+        this.dialect = dialect;
+    }
+
+    HttpDialect dialect() {
+        return dialect;
     }
 
     CallEvents events() {
@@ -37,7 +44,7 @@
 
     /** Names the request, and announces the end of the connection where it must not go on. */
     void finishHead(HttpServerExchange exchange, RequestId request, boolean requestRead) {
-        exchange.getResponseHeaders().put(SnipeslipHeaders.REQUEST_ID, request.value());
+        exchange.getResponseHeaders().put(dialect.requestId(), request.value());
         if (!requestRead || callers.isLeaving()) {
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
--- a/server/src/main/java/org/snipeslip/server/http/ProblemJson.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProblemJson.java
@@ -1,10 +1,14 @@
 package org.snipeslip.server.http;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import java.nio.charset.StandardCharsets;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.math.BigDecimal;
+import java.util.List;
 import org.snipeslip.core.call.Outcome;
 import org.snipeslip.core.call.Refusal;
 import org.snipeslip.core.id.RequestId;
@@ -12,29 +16,41 @@
 /** Writes typed refusals as problem details (RFC 9457). The request's body is left unread. */
 final class ProblemJson {
     private static final String MEDIA_TYPE = "application/problem+json";
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final JsonFactory FACTORY = new JsonFactory();
+    private static final int MILLI_DIGITS = 3;
+    private static final int USUAL_BYTES = 256;
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private ProblemJson() {}
 
     /** Sends a refusal of the state machine. */
-    static void send(HttpServerExchange exchange, RequestId request, Refusal refusal) {
+    static void send(
+            HttpServerExchange exchange, RequestId request, Refusal refusal, HttpDialect dialect) {
         int status = refusal.reason().status();
-        ObjectNode problem =
+        List<String> serveIn =
+                refusal.serveIn().stream().sorted().map(region -> region.value()).toList();
+        if (refusal.retryAfterMillis() > 0) {
+            exchange.getResponseHeaders()
+                    .put(Headers.RETRY_AFTER, seconds(refusal.retryAfterMillis(), dialect));
+        }
+        send(
+                exchange,
+                status,
                 problem(
                         request,
                         status,
                         refusal.reason().text(),
                         refusal.outcome(),
-                        refusal.sent());
-        refusal.serveIn().stream()
-                .sorted()
-                .forEach(region -> problem.withArray("homeRegions").add(region.value()));
-        if (refusal.retryAfterMillis() > 0) {
-            long seconds = (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
+                        refusal.sent(),
+                        serveIn));
+    }
+
+    /** Whole seconds are rounded up. */
+    private static String seconds(long millis, HttpDialect dialect) {
+        if (dialect.fractionalRetryAfter()) {
+            return BigDecimal.valueOf(millis, MILLI_DIGITS).toPlainString();
         }
-        send(exchange, status, problem);
+        return Long.toString((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
     }
 
     /** Sends the refusal of a request that is malformed or too large. */
@@ -44,25 +60,43 @@
         send(
                 exchange,
                 fault.status(),
-                problem(request, fault.status(), fault.text(), outcome, sent));
+                problem(request, fault.status(), fault.text(), outcome, sent, List.of()));
     }
 
-    private static ObjectNode problem(
-            RequestId request, int status, String reason, Outcome outcome, boolean sent) {
-        ObjectNode problem = MAPPER.createObjectNode();
-        problem.put("type", "about:blank");
-        problem.put("title", reason);
-        problem.put("status", status);
-        problem.put("outcome", outcome.text());
-        problem.put("thisSubmission", sent ? "unknown" : "not-sent");
-        problem.put("reason", reason);
-        problem.put("requestId", request.value());
-        return problem;
+    private static byte[] problem(
+            RequestId request,
+            int status,
+            String reason,
+            Outcome outcome,
+            boolean sent,
+            List<String> serveIn) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(USUAL_BYTES);
+        try (JsonGenerator json = FACTORY.createGenerator(bytes)) {
+            json.writeStartObject();
+            json.writeStringField("type", "about:blank");
+            json.writeStringField("title", reason);
+            json.writeNumberField("status", status);
+            json.writeStringField("outcome", outcome.text());
+            json.writeStringField("thisSubmission", sent ? "unknown" : "not-sent");
+            json.writeStringField("reason", reason);
+            json.writeStringField("requestId", request.value());
+            if (!serveIn.isEmpty()) {
+                json.writeArrayFieldStart("homeRegions");
+                for (String region : serveIn) {
+                    json.writeString(region);
+                }
+                json.writeEndArray();
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("the target is in memory", e);
+        }
+        return bytes.toByteArray();
     }
 
-    private static void send(HttpServerExchange exchange, int status, ObjectNode problem) {
+    private static void send(HttpServerExchange exchange, int status, byte[] problem) {
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, MEDIA_TYPE);
-        Responses.send(exchange, problem.toString().getBytes(StandardCharsets.UTF_8));
+        Responses.send(exchange, problem);
     }
 }
--- a/server/src/main/java/org/snipeslip/server/http/RequestCheck.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestCheck.java
@@ -8,7 +8,9 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.Protocols;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * Refuses requests whose framing, host or target two HTTP parsers could read differently (request
@@ -17,16 +19,18 @@
 final class RequestCheck {
     private static final int LINE_OVERHEAD_BYTES = 4;
     private static final int MAX_LENGTH_DIGITS = 18;
-    private static final List<HttpString> NUMBERS =
-            List.of(
-                    SnipeslipHeaders.DEADLINE_MILLIS,
-                    SnipeslipHeaders.DEPTH,
-                    SnipeslipHeaders.RETRIES_LEFT);
+    private static final List<HttpString> TREE_NUMBERS =
+            List.of(SnipeslipHeaders.DEPTH, SnipeslipHeaders.RETRIES_LEFT);
 
-    private final CallLimits limits;
+    private final Supplier<CallLimits> limits;
+    private final List<HttpString> numbers;
 
-    RequestCheck(CallLimits limits) {
+    RequestCheck(Supplier<CallLimits> limits, HttpDialect dialect) {
         this.limits = limits;
+        this.numbers = new ArrayList<>(List.of(dialect.deadlineMillis()));
+        if (dialect.carriesCallTree()) {
+            numbers.addAll(TREE_NUMBERS);
+        }
     }
 
     /** Returns the first fault of the request, or null. */
@@ -52,7 +56,7 @@
 
     private RequestFault checkSizes(HttpServerExchange exchange) {
         int uriBytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
-        if (uriBytes > limits.maxUriBytes()) {
+        if (uriBytes > limits.get().maxUriBytes()) {
             return RequestFault.URI_TOO_LONG;
         }
         long bytes = 0;
@@ -62,7 +66,7 @@
                 bytes += nameBytes + values.get(i).length();
             }
         }
-        return bytes > limits.maxHeaderBytes() ? RequestFault.HEADERS_TOO_LARGE : null;
+        return bytes > limits.get().maxHeaderBytes() ? RequestFault.HEADERS_TOO_LARGE : null;
     }
 
     private RequestFault checkFraming(HeaderMap headers) {
@@ -84,7 +88,7 @@
         if (!isPlainNumber(lengths.get(0))) {
             return RequestFault.INVALID_CONTENT_LENGTH;
         }
-        return Long.parseLong(lengths.get(0)) > limits.maxBodyBytes()
+        return Long.parseLong(lengths.get(0)) > limits.get().maxBodyBytes()
                 ? RequestFault.BODY_TOO_LARGE
                 : null;
     }
@@ -135,8 +139,8 @@
         return true;
     }
 
-    private static RequestFault checkFields(HeaderMap headers) {
-        for (HttpString name : NUMBERS) {
+    private RequestFault checkFields(HeaderMap headers) {
+        for (HttpString name : numbers) {
             HeaderValues values = headers.get(name);
             if (values != null && (values.size() > 1 || !isInt(values.get(0)))) {
                 return RequestFault.INVALID_NUMBER;
--- a/server/src/main/java/org/snipeslip/server/http/RequestHeads.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestHeads.java
@@ -30,11 +30,19 @@
         if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
             headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
         }
-        appendSender(exchange, headers);
-        headers.put(SnipeslipHeaders.DEADLINE_MILLIS, remainingMillis);
-        headers.put(SnipeslipHeaders.DEPTH, relay.depth() + 1);
-        headers.put(SnipeslipHeaders.RETRIES_LEFT, order.retriesLeft());
-        headers.put(SnipeslipHeaders.REQUEST_ID, order.tryId().request().value());
+        HttpDialect dialect = relay.dialect();
+        headers.put(dialect.deadlineMillis(), remainingMillis);
+        if (dialect.expectedServer() != null) {
+            headers.put(dialect.expectedServer(), order.target().id().value());
+        }
+        if (!dialect.callerNamesCall()) {
+            headers.put(dialect.requestId(), order.tryId().request().value());
+        }
+        if (dialect.carriesCallTree()) {
+            appendSender(exchange, headers);
+            headers.put(SnipeslipHeaders.DEPTH, relay.depth() + 1);
+            headers.put(SnipeslipHeaders.RETRIES_LEFT, order.retriesLeft());
+        }
         return request;
     }
 
--- a/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
@@ -34,7 +34,7 @@
         HeaderMap to = exchange.getResponseHeaders();
         exchange.setStatusCode(response.getResponseCode());
         HopByHop.copyEndToEnd(from, to);
-        to.remove(SnipeslipHeaders.LOAD);
+        to.remove(relay.dialect().load());
         relay.finishHead();
         if (ResponseCheck.isBodiless(response.getResponseCode())) {
             startWithoutBody(to);
--- a/server/src/main/java/org/snipeslip/server/http/ServerConnections.java
+++ b/server/src/main/java/org/snipeslip/server/http/ServerConnections.java
@@ -43,10 +43,10 @@
         return open.get() >= RETIRED / 2;
     }
 
-    void offerIdle(ClientConnection connection) {
+    void offerIdle(ClientConnection connection, long usableNanos) {
         idleByThread
                 .computeIfAbsent(connection.getIoThread(), key -> new ConcurrentLinkedDeque<>())
-                .offerFirst(new Idle(connection, System.nanoTime()));
+                .offerFirst(new Idle(connection, System.nanoTime(), usableNanos));
     }
 
     ClientConnection pollIdle(XnioIoThread ioThread) {
@@ -54,7 +54,10 @@
         Idle candidate;
         while (idle != null && (candidate = idle.pollFirst()) != null) {
             if (candidate.connection.isOpen()) {
-                return candidate.connection;
+                if (System.nanoTime() - candidate.sinceNanos < candidate.usableNanos) {
+                    return candidate.connection;
+                }
+                closeOnItsThread(candidate.connection);
             }
         }
         return null;
@@ -100,6 +103,6 @@
         connection.getIoThread().execute(() -> closeNow(connection));
     }
 
-    /** An idle connection and when it became idle. */
-    private record Idle(ClientConnection connection, long sinceNanos) {}
+    /** An idle connection, when it became idle, and how long it may be used from then. */
+    private record Idle(ClientConnection connection, long sinceNanos, long usableNanos) {}
 }
--- a/server/src/main/java/org/snipeslip/server/operator/OperatorHandler.java
+++ b/server/src/main/java/org/snipeslip/server/operator/OperatorHandler.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -22,7 +23,6 @@
 public final class OperatorHandler implements HttpHandler {
     private static final String JSON = "application/json";
 
-    private final ObjectMapper mapper = new ObjectMapper();
     private final Supplier<ConfigSet> config;
     private final BooleanSupplier ready;
     private final ServerMetrics metrics;
@@ -80,7 +80,7 @@
 
     private void sendTables(HttpServerExchange exchange) {
         ConfigSet inForce = config.get();
-        ObjectNode tables = mapper.createObjectNode();
+        ObjectNode tables = JsonNodeFactory.instance.objectNode();
         tables.put("generation", inForce.generation().number());
         tables.put("ready", ready.getAsBoolean());
         tables.put("openCalls", metrics.openCalls());
@@ -111,6 +111,7 @@
             return;
         }
         RequestId request = new RequestId(requests.getFirst());
+        ObjectMapper mapper = new ObjectMapper();
         ObjectNode explanation = mapper.createObjectNode();
         explanation.put("request", request.value());
         ArrayNode found = explanation.putArray("decisions");
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -0,0 +1,219 @@
+package org.snipeslip.server.runtime;
+
+import io.undertow.Undertow;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.snipeslip.core.call.DecisionRecord;
+import org.snipeslip.core.discovery.CallerBounds;
+import org.snipeslip.core.discovery.FleetConfig;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.DiscoveryInstance;
+import org.snipeslip.core.instance.Event;
+import org.snipeslip.server.http.BackendConnections;
+import org.snipeslip.server.http.CallHandler;
+import org.snipeslip.server.http.CallLimits;
+import org.snipeslip.server.http.CallerConnections;
+import org.snipeslip.server.http.CallerListener;
+import org.snipeslip.server.http.HttpMessageClient;
+import org.snipeslip.server.log.DecisionLog;
+import org.snipeslip.server.log.RecentDecisions;
+import org.snipeslip.server.operator.OperatorHandler;
+import org.snipeslip.server.operator.ServerMetrics;
+import org.xnio.XnioWorker;
+
+/** One running entry instance whose configuration and backend servers are discovered. */
+public final class DiscoveryProcess implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(DiscoveryProcess.class);
+    private static final int IO_THREADS = 1;
+
+    /** Heads and most bodies fit; larger bodies pass through in pieces. */
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    private static final int POOLED_BUFFERS = 200;
+    private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long IDLE_SWEEP_MILLIS = 5_000;
+
+    /** Time for the last answers to reach their callers. */
+    private static final long ANSWERS_MILLIS = 300;
+
+    private final DiscoverySettings settings;
+    private final XnioWorker worker;
+    private final Timers timers = new Timers();
+    private final ByteBufferPool buffers;
+    private final BackendConnections connections;
+    private final CallerConnections callers = new CallerConnections();
+    private final ServerMetrics metrics = new ServerMetrics();
+    private final RecentDecisions recent = new RecentDecisions();
+    private final DecisionLog decisionLog;
+    private final DiscoveryInstance instance;
+    private final InstanceRuntime runtime;
+    private final CallerListener callerListener;
+    private final Undertow readinessServer;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    /**
+     * Starts an instance.
+     *
+     * @param settings its settings
+     * @param storeFactory gives the store, which shares the client of the process
+     * @param seed seed of the random choices
+     * @throws IOException if an address cannot be used
+     */
+    public DiscoveryProcess(
+            DiscoverySettings settings,
+            Function<HttpMessageClient, FleetStore> storeFactory,
+            long seed)
+            throws IOException {
+        this.settings = settings;
+        worker = Workers.create(IO_THREADS);
+        buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
+        connections = new BackendConnections(buffers, settings.connectionSharers());
+        decisionLog = new DecisionLog(settings.decisionLog());
+        instance =
+                new DiscoveryInstance(
+                        settings.fleet(),
+                        settings.call(),
+                        settings.region(),
+                        settings.failureDomain(),
+                        settings.stop(),
+                        seed);
+        HttpMessageClient client = new HttpMessageClient(worker.getIoThread(), buffers);
+        runtime =
+                new InstanceRuntime(
+                        instance,
+                        StoreCalls.of(storeFactory.apply(client)),
+                        client,
+                        timers,
+                        metrics,
+                        this::record,
+                        (address, message) -> {
+                            throw new IllegalStateException("a discovered instance has no peers");
+                        },
+                        this::finishStop);
+        registerGauges();
+        readinessServer =
+                Undertow.builder()
+                        .setWorker(worker)
+                        .setByteBufferPool(buffers)
+                        .setHandler(readinessHandler())
+                        .addHttpListener(
+                                settings.readinessAddress().getPort(),
+                                settings.readinessAddress().getHostString())
+                        .build();
+        readinessServer.start();
+        callerListener =
+                new CallerListener(
+                        settings.callerAddress(),
+                        worker,
+                        buffers,
+                        settings.limits(),
+                        new CallHandler(
+                                runtime,
+                                connections,
+                                callers,
+                                metrics,
+                                this::limits,
+                                settings.dialect(),
+                                settings.fleet().instance().value()));
+        timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
+        runtime.handle(new Event.Started());
+    }
+
+    /** Begins the planned stop. A second request ends it at once. */
+    public void requestStop() {
+        LOG.info("planned stop requested, {} calls open", metrics.openCalls());
+        callers.leave();
+        runtime.handle(new Event.StopRequested());
+    }
+
+    /**
+     * Waits until the planned stop is complete.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitStop() throws InterruptedException {
+        stopped.await();
+    }
+
+    @Override
+    public void close() {
+        callerListener.close();
+        callers.closeIdle();
+        callers.awaitAnswers(ANSWERS_MILLIS);
+        callers.closeAll();
+        readinessServer.stop();
+        runtime.close();
+        timers.close();
+        connections.close();
+        Workers.stop(worker);
+        buffers.close();
+        decisionLog.close();
+    }
+
+    private void record(DecisionRecord decision) {
+        recent.add(decision);
+        decisionLog.add(decision);
+    }
+
+    private void finishStop(Action.FinishStop action) {
+        LOG.info("planned stop done, {} calls open", action.openCalls());
+        stopped.countDown();
+    }
+
+    private CallLimits limits() {
+        FleetConfig config = instance.fleetConfig();
+        if (config == null) {
+            return settings.limits();
+        }
+        CallerBounds bounds = config.callerBounds();
+        return new CallLimits(
+                bounds.maxHeaderBytes(),
+                settings.limits().maxUriBytes(),
+                bounds.maxBodyBytes(),
+                settings.limits().keptBodyBytes(),
+                settings.limits().keptBodiesTotalBytes());
+    }
+
+    private HttpHandler readinessHandler() {
+        HttpHandler operator =
+                new OperatorHandler(
+                        instance::configInForce,
+                        instance::isReady,
+                        metrics,
+                        recent,
+                        connections::openConnections,
+                        () -> "no peers\n");
+        return exchange -> {
+            if (exchange.getRequestPath().equals(settings.readinessPath())) {
+                answerReadiness(exchange);
+            } else {
+                operator.handleRequest(exchange);
+            }
+        };
+    }
+
+    private void answerReadiness(HttpServerExchange exchange) {
+        exchange.setStatusCode(
+                instance.isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+        exchange.endExchange();
+    }
+
+    private void registerGauges() {
+        metrics.gauge("generation", () -> instance.configInForce().generation().number());
+        metrics.gauge(
+                "config_version",
+                () -> instance.fleetConfig() == null ? 0 : instance.fleetConfig().version());
+        metrics.gauge("backend_connections", connections::openConnections);
+        metrics.gauge("caller_connections", callers::count);
+        metrics.gauge("log_lines_dropped_total", decisionLog::droppedLines);
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -21,6 +21,7 @@
 import org.snipeslip.server.http.CallHandler;
 import org.snipeslip.server.http.CallerConnections;
 import org.snipeslip.server.http.CallerListener;
+import org.snipeslip.server.http.HttpDialect;
 import org.snipeslip.server.http.HttpMessageClient;
 import org.snipeslip.server.log.DecisionLog;
 import org.snipeslip.server.log.RecentDecisions;
@@ -28,9 +29,7 @@
 import org.snipeslip.server.operator.ServerMetrics;
 import org.snipeslip.server.settings.ProcessSettings;
 import org.snipeslip.server.store.ObjectApiClient;
-import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /** One running entry instance: caller port, operator port and the state machine between. */
@@ -40,7 +39,6 @@
     private static final int POOLED_BUFFERS = 1_000;
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final long IDLE_SWEEP_MILLIS = 10_000;
-    private static final long WORKER_STOP_SECONDS = 2;
 
     /** Time for refusals that the stop gave to open calls to reach their callers. */
     private static final long ANSWERS_MILLIS = 500;
@@ -78,7 +76,7 @@
      * @throws IOException if the I/O worker cannot be created
      */
     public EntryProcess(ProcessSettings settings, ShellSettings shell) throws IOException {
-        worker = createWorker(settings.ioThreads());
+        worker = Workers.create(settings.ioThreads());
         buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
         connections = new BackendConnections(buffers, shell.configuredInstances());
         decisionLog = new DecisionLog(shell.decisionLog());
@@ -87,7 +85,7 @@
         runtime =
                 new InstanceRuntime(
                         instance,
-                        new ObjectApiClient(client, settings.objectApi()),
+                        StoreCalls.of(new ObjectApiClient(client, settings.objectApi())),
                         client,
                         timers,
                         metrics,
@@ -110,7 +108,8 @@
                                 connections,
                                 callers,
                                 metrics,
-                                shell.limits(),
+                                shell::limits,
+                                HttpDialect.SNIPESLIP,
                                 requestIdPrefix));
         operatorServer = server(settings.operatorAddress(), operatorHandler()).build();
         operatorServer.start();
@@ -157,7 +156,7 @@
         runtime.close();
         timers.close();
         connections.close();
-        stopWorker();
+        Workers.stop(worker);
         buffers.close();
         decisionLog.close();
     }
@@ -201,17 +200,6 @@
         metrics.gauge("log_lines_dropped_total", decisionLog::droppedLines);
     }
 
-    private static XnioWorker createWorker(int ioThreads) throws IOException {
-        return Xnio.getInstance()
-                .createWorker(
-                        OptionMap.builder()
-                                .set(Options.WORKER_IO_THREADS, ioThreads)
-                                .set(Options.WORKER_TASK_CORE_THREADS, 2)
-                                .set(Options.WORKER_TASK_MAX_THREADS, 2)
-                                .set(Options.TCP_NODELAY, true)
-                                .getMap());
-    }
-
     private Undertow.Builder server(InetSocketAddress address, HttpHandler handler) {
         return Undertow.builder()
                 .setWorker(worker)
@@ -220,13 +208,4 @@
                 .addHttpListener(address.getPort(), address.getHostString())
                 .setSocketOption(Options.TCP_NODELAY, true);
     }
-
-    private void stopWorker() {
-        worker.shutdownNow();
-        try {
-            worker.awaitTermination(WORKER_STOP_SECONDS, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
@@ -8,10 +8,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snipeslip.core.call.DecisionRecord;
+import org.snipeslip.core.discovery.FleetAnswer;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
-import org.snipeslip.core.instance.Instance;
+import org.snipeslip.core.instance.StateMachine;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.peer.PeerMessage;
 import org.snipeslip.core.store.StoreAnswer;
@@ -20,14 +21,13 @@
 import org.snipeslip.server.http.HttpMessageClient;
 import org.snipeslip.server.http.ProbeSender;
 import org.snipeslip.server.operator.ServerMetrics;
-import org.snipeslip.server.store.ObjectApiClient;
 
 /** Carries events into the state machine and its actions out to the shells. Decides nothing. */
 public final class InstanceRuntime implements CallEvents {
     private static final Logger LOG = LoggerFactory.getLogger(InstanceRuntime.class);
 
-    private final Instance instance;
-    private final ObjectApiClient store;
+    private final StateMachine instance;
+    private final StoreCalls stores;
     private final ProbeSender probes;
     private final Timers timers;
     private final ServerMetrics metrics;
@@ -38,8 +38,8 @@
     private volatile boolean closed;
 
     InstanceRuntime(
-            Instance instance,
-            ObjectApiClient store,
+            StateMachine instance,
+            StoreCalls stores,
             HttpMessageClient probeClient,
             Timers timers,
             ServerMetrics metrics,
@@ -47,7 +47,7 @@
             BiConsumer<PeerAddress, PeerMessage> peers,
             Consumer<Action.FinishStop> onFinishStop) {
         this.instance = instance;
-        this.store = store;
+        this.stores = stores;
         this.probes = new ProbeSender(probeClient, this::handle);
         this.timers = timers;
         this.metrics = metrics;
@@ -69,6 +69,11 @@
         handle(arrived);
     }
 
+    @Override
+    public boolean isOpen(RequestId request) {
+        return relays.containsKey(request);
+    }
+
     @Override
     public void forget(RequestId request) {
         relays.remove(request);
@@ -87,7 +92,8 @@
                 case Action.RelayAnswer a -> relay(a.tryId().request(), a);
                 case Action.ReplayAnswer a -> relay(a.request(), a);
                 case Action.RefuseCaller a -> relay(a.request(), a);
-                case Action.CallStore a -> store.call(a.request(), answer -> answered(a, answer));
+                case Action.CallStore a -> stores.call(a, answer -> answered(a, answer));
+                case Action.CallFleet a -> stores.call(a, answer -> answered(a, answer));
                 case Action.SetTimer a ->
                         timers.set(
                                 a.timer(),
@@ -108,6 +114,11 @@
         handle(new Event.StoreAnswered(order.call(), answer));
     }
 
+    private void answered(Action.CallFleet order, FleetAnswer answer) {
+        metrics.storeAnswered(answer instanceof FleetAnswer.Failed);
+        handle(new Event.FleetAnswered(order.call(), answer));
+    }
+
     private void relay(RequestId request, Action action) {
         CallRelay relay = relays.get(request);
         if (relay != null) {
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/runtime/Workers.java
@@ -0,0 +1,36 @@
+package org.snipeslip.server.runtime;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** The I/O worker of a process. */
+final class Workers {
+    private static final int TASK_THREADS = 2;
+    private static final long STOP_SECONDS = 2;
+
+    private Workers() {}
+
+    static XnioWorker create(int ioThreads) throws IOException {
+        return Xnio.getInstance()
+                .createWorker(
+                        OptionMap.builder()
+                                .set(Options.WORKER_IO_THREADS, ioThreads)
+                                .set(Options.WORKER_TASK_CORE_THREADS, TASK_THREADS)
+                                .set(Options.WORKER_TASK_MAX_THREADS, TASK_THREADS)
+                                .set(Options.TCP_NODELAY, true)
+                                .getMap());
+    }
+
+    static void stop(XnioWorker worker) {
+        worker.shutdownNow();
+        try {
+            worker.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/server/src/test/java/org/snipeslip/server/http/ScriptedEngine.java
+++ b/server/src/test/java/org/snipeslip/server/http/ScriptedEngine.java
@@ -45,6 +45,11 @@
         actions.forEach(this::carryOut);
     }
 
+    @Override
+    public boolean isOpen(RequestId request) {
+        return relays.containsKey(request);
+    }
+
     @Override
     public void forget(RequestId request) {
         relays.remove(request);
--- a/server/src/test/java/org/snipeslip/server/http/ShellFixture.java
+++ b/server/src/test/java/org/snipeslip/server/http/ShellFixture.java
@@ -50,7 +50,8 @@
                                 connections,
                                 callers,
                                 new ServerMetrics(),
-                                LIMITS,
+                                () -> LIMITS,
+                                HttpDialect.SNIPESLIP,
                                 "entry-1"));
     }
 
