Ask servers for their load before each call; refuse what cannot be served in time

Each instance gets an answer of a given server every few seconds, while its load and pace change every 150 ms, so the reported load was no guide; waits at the servers (p99 742 ms of 60 ms work) show it.

Ruled out: queueing at the instances (no call waited) and processor time (0.05 cores).

Change: Placements probes up to four servers of the own region on the connections that calls use, then other regions if none is free; ProbedPolicy takes the lowest expected time; a call that cannot end before its deadline is refused as not run with the expected wait. A refusal that may have run keeps its reason and gets 502.

--- a/core/src/main/java/org/snipeslip/core/call/CallEnds.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEnds.java
@@ -16,13 +16,7 @@
 
     static Refusal refusal(CallState call, RefusalReason reason, long retryAfterMillis) {
         Outcome outcome = call.mayHaveStarted ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-        RefusalReason said = outcome == Outcome.NOT_RUN ? reason : withoutPromise(reason);
-        return new Refusal(said, outcome, call.bytesSent, retryAfterMillis, Set.of());
-    }
-
-    /** A status that promises "not run" must not answer a call that may have run. */
-    private static RefusalReason withoutPromise(RefusalReason reason) {
-        return reason.promisesNotRun() ? RefusalReason.BACKEND_SERVER_FAILED : reason;
+        return new Refusal(reason, outcome, call.bytesSent, retryAfterMillis, Set.of());
     }
 
     /** A call that waits for its claim may repeat one that ran, so it is not called "not run". */
--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -174,7 +174,7 @@
             case Event.ProbeFailed e -> {
                 ServiceShard shard = shards.get(e.service());
                 if (shard != null) {
-                    shard.probeFailed(e.backendServer());
+                    shard.probeFailed(e.backendServer(), nowNanos, outbox);
                 }
             }
             default -> {
--- a/core/src/main/java/org/snipeslip/core/call/Refusal.java
+++ b/core/src/main/java/org/snipeslip/core/call/Refusal.java
@@ -18,11 +18,28 @@
         boolean sent,
         long retryAfterMillis,
         Set<RegionId> serveIn) {
+    /** Statuses that callers may read as "not run and never will be". */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+    private static final int BAD_GATEWAY = 502;
+
     /** Copies the set. */
     public Refusal {
         serveIn = Set.copyOf(serveIn);
     }
 
+    /**
+     * Returns the HTTP status code: that of the reason, unless it would promise that a call which
+     * may have run did not.
+     *
+     * @return the status
+     */
+    public int status() {
+        return outcome == Outcome.UNKNOWN && PROMISES.contains(reason.status())
+                ? BAD_GATEWAY
+                : reason.status();
+    }
+
     /**
      * A refusal before any byte was sent.
      *
--- a/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -52,15 +52,6 @@
         return status;
     }
 
-    /**
-     * Tells whether callers may read the status as "not run and never will be".
-     *
-     * @return true for 421, 429 and 503
-     */
-    public boolean promisesNotRun() {
-        return status == 421 || status == 429 || status == 503;
-    }
-
     /**
      * Returns the value used in answers and logs.
      *
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -28,7 +28,7 @@
         reported(state, report, nowNanos);
         long latency = nowNanos - each.sentAtNanos;
         boolean error = status >= FIRST_ERROR_STATUS;
-        state.load.observeError(error);
+        state.load.observeError(error, nowNanos);
         if (error && state.load.isErrorOutlier()) {
             state.load.failed(latency, nowNanos);
             state.limit.refused(service.baselineNanos(), nowNanos);
@@ -60,7 +60,7 @@
             case NO_CONNECTION_LEFT ->
                     state.limit.refused(pool.serviceLoad().baselineNanos(), nowNanos);
             default -> {
-                state.load.observeError(true);
+                state.load.observeError(true, nowNanos);
                 state.load.failed(latency, nowNanos);
                 state.limit.refused(pool.serviceLoad().baselineNanos(), nowNanos);
                 if (state.warmUp.isCold() || state.load.isErrorOutlier()) {
@@ -74,11 +74,19 @@
         each.server.load.cancelled(nowNanos - each.sentAtNanos, nowNanos);
     }
 
+    /** Takes a probe without an answer; the state is null if the server was removed meanwhile. */
+    void silent(ServerState state, long nowNanos) {
+        if (state != null) {
+            state.load.silent(nowNanos);
+        }
+    }
+
     void reported(ServerState state, LoadReport report, long nowNanos) {
         if (!report.isKnown()) {
             return;
         }
         state.load.reported(report.inFlight(), report.slots(), nowNanos);
+        state.load.paced(report.slowdown(), report.unwell());
         boolean wasInService = state.isInService();
         state.drainReported = report.draining();
         boolean becameCold = report.cold() && !state.coldReported;
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -11,10 +12,13 @@
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.FailureDomain;
+import org.snipeslip.core.config.Route;
 import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.load.Distance;
 import org.snipeslip.core.load.ServiceLoad;
 import org.snipeslip.core.selection.Candidates;
+import org.snipeslip.core.selection.PolicyName;
 import org.snipeslip.core.selection.SelectionPolicy;
 
 /** The backend servers of one service and the choice among them. Guarded by the shard's lock. */
@@ -29,12 +33,17 @@
     private static final int SCAN_LIMIT = 96;
 
     private static final int MAX_EXCLUDED = 4;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** A target leaves room for about this many times the work itself. */
+    private static final double WORK_PER_TARGET = 3;
 
     private final CallSettings settings;
     private final InstancePlace place;
     private final RandomGenerator random;
     private final SelectionPolicy policy;
     private final boolean adaptive;
+    private final boolean probed;
     private final ServiceLoad serviceLoad = new ServiceLoad();
     private final Map<BackendServerId, ServerState> byId = new HashMap<>();
 
@@ -62,6 +71,7 @@
         this.random = random;
         this.policy = SelectionPolicy.of(settings.policy());
         this.adaptive = settings.policy().isAdaptive();
+        this.probed = settings.policy() == PolicyName.PROBED;
         this.fleet = new FleetShare(settings.instances(), 0);
     }
 
@@ -147,6 +157,33 @@
         return eligibleStates[chosen];
     }
 
+    /**
+     * Chooses servers to ask for their load, at random, so that all are asked equally often.
+     *
+     * @param near true for servers of the own region, false for those of other regions
+     * @param most servers at most
+     * @return servers that may take the call
+     */
+    List<ServerState> probeTargets(CallState call, boolean near, int most, long nowNanos) {
+        List<ServerState> targets = new ArrayList<>(most);
+        int farStart = tierStart[Distance.OTHER_REGION.ordinal()];
+        int from = near ? 0 : farStart;
+        int size = (near ? farStart : byDistance.length) - from;
+        int offset = size > 0 ? random.nextInt(size) : 0;
+        for (int i = 0; i < size && targets.size() < most; i++) {
+            ServerState state = byDistance[from + (offset + i) % size];
+            if (exclusion(state, call, nowNanos) == Exclusion.NONE) {
+                targets.add(state);
+            }
+        }
+        return targets;
+    }
+
+    /** Returns the expected time of the last choice in nanoseconds. */
+    double chosenNanos() {
+        return eligible.score(chosen);
+    }
+
     /**
      * Tells whether the last choice failed only because servers have no room now.
      *
@@ -203,6 +240,24 @@
         return serviceLoad;
     }
 
+    boolean isProbed() {
+        return probed;
+    }
+
+    /** Takes the time that the routes of a service ask for as a first guess of its work. */
+    void expectWork(Collection<Route> routes, ServiceId service) {
+        for (Route route : routes) {
+            if (route.targetLatencyMillis() > 0 && route.sendsTo(service)) {
+                serviceLoad.expect(route.targetLatencyMillis() * NANOS_PER_MILLI / WORK_PER_TARGET);
+            }
+        }
+    }
+
+    /** Returns when one of the calls at a busy server will have ended, in milliseconds. */
+    long waitMillis(ServerState state, long nowNanos) {
+        return Math.max(1, (long) (state.load.expectedNanos(nowNanos) / NANOS_PER_MILLI));
+    }
+
     boolean isAdaptive() {
         return adaptive;
     }
@@ -271,7 +326,10 @@
         if (call.wasTriedAt(state)) {
             return Exclusion.ALREADY_TRIED;
         }
-        boolean room = state.hasRoom(adaptive, call.route.callClass(), nowNanos);
+        boolean room =
+                probed
+                        ? state.hasProbedRoom(nowNanos)
+                        : state.hasRoom(adaptive, call.route.callClass(), nowNanos);
         return room ? Exclusion.NONE : Exclusion.AT_LIMIT;
     }
 }
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -110,6 +110,12 @@
                 && !(adaptive && isFullByReport(callClass, nowNanos));
     }
 
+    /** With probes before each call, only connections and the rate while cold bound the calls. */
+    boolean hasProbedRoom(long nowNanos) {
+        return load.inFlight() < connectionShare
+                && (!isColdByPlan(nowNanos) || coldRate.allows(coldShare, nowNanos));
+    }
+
     /** Batch calls take free slots only: a queue at the server has no priority. */
     private boolean isFullByReport(CallClass callClass, long nowNanos) {
         long age = load.reportAgeNanos(nowNanos);
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -1,8 +1,6 @@
 package org.snipeslip.core.call;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.Service;
@@ -27,16 +25,17 @@
 
     private final ServiceId service;
     private final CallSettings settings;
-    private final OpenCalls openCalls;
     private final ServerPool pool;
     private final ServerFeedback feedback;
     private final ShardQueue queue;
     private final HedgeQueue hedges = new HedgeQueue();
+    private final Placements placements;
     private final ShardRetries retries;
     private final ShardProbes probes;
     private final ShardTimer timer;
     private final Decisions decisions;
-    private final Map<RequestId, CallState> calls = new HashMap<>();
+    private final ShardAdmission admission;
+    private final ShardCalls calls;
 
     ServiceShard(
             ServiceId service,
@@ -47,14 +46,16 @@
             RandomGenerator random) {
         this.service = service;
         this.settings = settings;
-        this.openCalls = openCalls;
         this.pool = new ServerPool(settings, place, random);
         this.feedback = new ServerFeedback(pool);
         this.queue = new ShardQueue(settings, pool.serviceLoad(), random);
         this.retries = new ShardRetries(settings);
+        this.placements = new Placements(service, pool);
         this.probes = new ShardProbes(service, pool, settings.measure(), budget);
         this.timer = new ShardTimer(service);
         this.decisions = new Decisions(service);
+        this.calls = new ShardCalls(openCalls, decisions);
+        this.admission = new ShardAdmission(pool, queue, calls, decisions);
     }
 
     synchronized void configure(
@@ -66,6 +67,7 @@
                 firstConfig,
                 nowNanos);
         probes.configure(config, nowNanos);
+        pool.expectWork(config.routes().values(), service);
         settle(nowNanos, outbox);
     }
 
@@ -83,7 +85,7 @@
     }
 
     synchronized void arrive(CallState call, long nowNanos, Outbox outbox) {
-        calls.put(call.request, call);
+        calls.add(call);
         retries.earn();
         if (call.needsClaim()) {
             call.awaitsClaim = true;
@@ -110,17 +112,17 @@
         call.awaitsClaim = false;
         call.claimGranted = decision instanceof ClaimDecision.Granted;
         if (call.callerGone) {
-            end(call);
+            calls.end(call);
             CallEnds.endUnanswered(call, outbox);
             return;
         }
         switch (decision) {
             case ClaimDecision.Granted granted -> admit(call, nowNanos, outbox);
             case ClaimDecision.Replay replay -> {
-                end(call);
+                calls.end(call);
                 outbox.add(new Action.ReplayAnswer(call.request, replay.answer()));
             }
-            case ClaimDecision.Refused refused -> refuse(call, refused.refusal(), outbox);
+            case ClaimDecision.Refused refused -> calls.refuse(call, refused.refusal(), outbox);
         }
         settle(nowNanos, outbox);
     }
@@ -148,7 +150,7 @@
             return;
         }
         each.release();
-        end(call);
+        calls.end(call);
         CallEnds.endAnswered(call, answer, outbox);
         settle(nowNanos, outbox);
     }
@@ -169,7 +171,7 @@
         }
         call.lastFailure = failure;
         if (call.winner != null) {
-            end(call);
+            calls.end(call);
             CallEnds.endUnanswered(call, outbox);
         } else if (call.openTries() == 0) {
             tryAgain(call, nowNanos, outbox);
@@ -191,14 +193,15 @@
         call.winner = null;
         cancelOpenTries(call, nowNanos, outbox);
         queue.remove(call);
-        end(call);
+        placements.remove(call);
+        calls.end(call);
         CallEnds.endUnanswered(call, outbox);
         settle(nowNanos, outbox);
     }
 
     /** Ends every open call at the limit of a planned stop; a response being relayed is cut. */
     synchronized void abort(long nowNanos, Outbox outbox) {
-        for (CallState call : List.copyOf(calls.values())) {
+        for (CallState call : calls.all()) {
             call.mayHaveStarted |= call.openTries() > 0;
             call.bytesSent |= call.openTries() > 0;
             boolean relayed = call.winner != null;
@@ -206,10 +209,10 @@
             cancelOpenTries(call, nowNanos, outbox);
             queue.remove(call);
             if (relayed) {
-                end(call);
+                calls.end(call);
                 CallEnds.endUnanswered(call, outbox);
             } else {
-                refuse(call, CallEnds.refusalAtStop(call), outbox);
+                calls.refuse(call, CallEnds.refusalAtStop(call), outbox);
             }
         }
     }
@@ -217,15 +220,14 @@
     synchronized void timerFired(long nowNanos, Outbox outbox) {
         timer.fired();
         if (!queue.isEmpty()) {
-            for (ShardQueue.Dropped dropped : queue.removeExpired(nowNanos)) {
-                drop(dropped, outbox);
-            }
+            admission.dropExpired(nowNanos, outbox);
         }
         CallState due;
         while ((due = hedges.poll(nowNanos)) != null) {
             hedge(due, nowNanos, outbox);
         }
         probes.timerFired(nowNanos, outbox);
+        place(placements.due(nowNanos), nowNanos, outbox);
         settle(nowNanos, outbox);
     }
 
@@ -236,17 +238,54 @@
         if (state != null) {
             feedback.reported(state, load, nowNanos);
         }
+        boolean idle = state != null && state.load.isIdle(nowNanos);
+        place(placements.answered(id, idle), nowNanos, outbox);
         settle(nowNanos, outbox);
     }
 
-    synchronized void probeFailed(BackendServerId id) {
+    synchronized void probeFailed(BackendServerId id, long nowNanos, Outbox outbox) {
         probes.failed(id);
+        feedback.silent(pool.find(id), nowNanos);
+        place(placements.answered(id, false), nowNanos, outbox);
+        settle(nowNanos, outbox);
+    }
+
+    private void place(List<Placements.Placement> ready, long nowNanos, Outbox outbox) {
+        ready.forEach(placement -> place(placement, nowNanos, outbox));
+    }
+
+    /** Sends a call whose load reports have come, asks for more of them, or refuses it. */
+    private void place(Placements.Placement placement, long nowNanos, Outbox outbox) {
+        CallState call = placement.call;
+        if (call.isAnsweredOrEnded()) {
+            return;
+        }
+        ServerState chosen = pool.choose(call, nowNanos);
+        boolean free = chosen != null && chosen.load.hasFreeSlot(nowNanos);
+        if (!free && placements.widen(placement, probes.path(), nowNanos, outbox)) {
+            return;
+        }
+        if (placement.hedge) {
+            if (free && retries.mayHedge(call, nowNanos) && retries.takeHedge()) {
+                call.retriesLeft--;
+                send(call, chosen, true, nowNanos, outbox);
+            }
+        } else if (chosen == null) {
+            admission.waitOrRefuse(call, nowNanos, outbox);
+        } else if (pool.chosenNanos() > call.deadlineNanos - nowNanos) {
+            admission.refuseBusy(call, chosen, nowNanos, outbox);
+        } else {
+            send(call, chosen, false, nowNanos, outbox);
+        }
     }
 
     /** Sends the call, or lets it wait, or refuses it. */
     private void admit(CallState call, long nowNanos, Outbox outbox) {
         if (nowNanos >= call.deadlineNanos) {
-            refuse(call, RefusalReason.DEADLINE_EXCEEDED, outbox);
+            calls.refuse(call, RefusalReason.DEADLINE_EXCEEDED, 0, outbox);
+            return;
+        }
+        if (pool.isProbed() && placements.start(call, false, probes.path(), nowNanos, outbox)) {
             return;
         }
         if (queue.isEmpty()) {
@@ -255,18 +294,8 @@
                 send(call, chosen, false, nowNanos, outbox);
                 return;
             }
-            if (!pool.isBusy()) {
-                refuse(call, CallEnds.reasonWhenNone(call), outbox);
-                return;
-            }
-        }
-        ShardQueue.Dropped dropped = queue.add(call, nowNanos);
-        if (call.waiting != null) {
-            decisions.queued(call, pool.snapshot(nowNanos), outbox);
-        }
-        if (dropped != null) {
-            drop(dropped, outbox);
         }
+        admission.waitOrRefuse(call, nowNanos, outbox);
     }
 
     private void tryAgain(CallState call, long nowNanos, Outbox outbox) {
@@ -274,7 +303,7 @@
             call.retriesLeft--;
             admit(call, nowNanos, outbox);
         } else {
-            refuse(call, CallEnds.reasonOf(call.lastFailure), outbox);
+            calls.refuse(call, CallEnds.reasonOf(call.lastFailure), 0, outbox);
         }
     }
 
@@ -282,6 +311,10 @@
         if (!queue.isEmpty() || !retries.mayHedge(call, nowNanos)) {
             return;
         }
+        if (pool.isProbed()) {
+            placements.start(call, true, probes.path(), nowNanos, outbox);
+            return;
+        }
         ServerState chosen = pool.choose(call, nowNanos);
         if (chosen != null && chosen.load.hasFreeSlot(nowNanos) && retries.takeHedge()) {
             call.retriesLeft--;
@@ -322,9 +355,7 @@
         CallState call;
         while (blocked < MAX_BLOCKED && (call = queue.head()) != null) {
             if (queue.isExpired(call, nowNanos)) {
-                for (ShardQueue.Dropped dropped : queue.removeExpired(nowNanos)) {
-                    drop(dropped, outbox);
-                }
+                admission.dropExpired(nowNanos, outbox);
                 continue;
             }
             ServerState chosen = pool.choose(call, nowNanos);
@@ -337,32 +368,14 @@
                 blocked += allBlocked ? MAX_BLOCKED : 1;
             } else {
                 queue.remove(call);
-                refuse(call, CallEnds.reasonWhenNone(call), outbox);
+                calls.refuse(call, CallEnds.reasonWhenNone(call), 0, outbox);
             }
         }
         long due = Math.min(queue.nextSweepNanos(), probes.nextNanos());
+        due = Math.min(due, placements.nextNanos());
         timer.ensure(Math.min(due, hedges.nextNanos()), nowNanos, outbox);
     }
 
-    private void drop(ShardQueue.Dropped dropped, Outbox outbox) {
-        long retryAfter =
-                dropped.reason() == RefusalReason.DEADLINE_EXCEEDED ? 0 : queue.retryAfterMillis();
-        refuse(
-                dropped.call(),
-                CallEnds.refusal(dropped.call(), dropped.reason(), retryAfter),
-                outbox);
-    }
-
-    private void refuse(CallState call, RefusalReason reason, Outbox outbox) {
-        refuse(call, CallEnds.refusal(call, reason, 0), outbox);
-    }
-
-    private void refuse(CallState call, Refusal refusal, Outbox outbox) {
-        end(call);
-        CallEnds.refuse(call, refusal, outbox);
-        decisions.refused(call, refusal, outbox);
-    }
-
     /** Cancels the open tries, except the one whose answer is relayed. */
     private void cancelOpenTries(CallState call, long nowNanos, Outbox outbox) {
         for (OpenTry each : call.tries) {
@@ -373,10 +386,4 @@
             }
         }
     }
-
-    private void end(CallState call) {
-        call.ended = true;
-        calls.remove(call.request);
-        openCalls.remove(call.request);
-    }
 }
--- a/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.Route;
+import org.snipeslip.core.config.Service;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.instance.Action;
@@ -23,6 +24,7 @@
     private final MeasurementBudget budget;
     private final ProbeSchedule<BackendServerId> schedule;
     private List<Route> routes = List.of();
+    private String path = Service.DEFAULT_PROBE_PATH;
     private long nextNanos = ShardTimer.NEVER;
 
     ShardProbes(
@@ -38,11 +40,18 @@
     }
 
     void configure(ConfigSet config, long nowNanos) {
+        Service object = config.services().get(service);
+        path = object == null ? path : object.probePath();
         routes = config.routes().values().stream().filter(route -> route.sendsTo(service)).toList();
         boolean needed = settings.isEnabled() && pool.all().length > 0;
         nextNanos = needed ? nowNanos + PERIOD_NANOS : ShardTimer.NEVER;
     }
 
+    /** Returns the path at which servers answer with their load. */
+    String path() {
+        return path;
+    }
+
     long nextNanos() {
         return nextNanos;
     }
@@ -64,7 +73,7 @@
             ServerState state = pool.find(id);
             if (budget.takeProbe(isCrossRegion(state), nowNanos)) {
                 schedule.sent(id, nowNanos);
-                outbox.add(new Action.SendProbe(service, state.server));
+                outbox.add(new Action.SendProbe(service, state.server, path));
             }
         }
     }
--- a/core/src/main/java/org/snipeslip/core/config/Service.java
+++ b/core/src/main/java/org/snipeslip/core/config/Service.java
@@ -8,13 +8,28 @@
  *
  * @param id the name
  * @param backendServers its backend servers
+ * @param probePath path at which a server answers with its load
  */
-public record Service(ServiceId id, List<BackendServer> backendServers) implements ConfigObject {
+public record Service(ServiceId id, List<BackendServer> backendServers, String probePath)
+        implements ConfigObject {
+    /** Path of services that state none. */
+    public static final String DEFAULT_PROBE_PATH = "/load";
+
     /** Copies the list. */
     public Service {
         backendServers = List.copyOf(backendServers);
     }
 
+    /**
+     * Creates a service with the default probe path.
+     *
+     * @param id the name
+     * @param backendServers its backend servers
+     */
+    public Service(ServiceId id, List<BackendServer> backendServers) {
+        this(id, backendServers, DEFAULT_PROBE_PATH);
+    }
+
     @Override
     public ObjectKind kind() {
         return ObjectKind.SERVICE;
--- a/core/src/main/java/org/snipeslip/core/discovery/FleetView.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/FleetView.java
@@ -77,7 +77,9 @@
                 }
             }
         }
-        byService.forEach((service, list) -> objects.add(new Service(service, list)));
+        byService.forEach(
+                (service, list) ->
+                        objects.add(new Service(service, list, plans.get(service).healthPath())));
         objects.addAll(config.routes());
         return ConfigSet.of(generation, objects);
     }
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -95,8 +95,9 @@
      *
      * @param service the service
      * @param target the backend server
+     * @param path path to ask
      */
-    record SendProbe(ServiceId service, BackendServer target) implements Action {}
+    record SendProbe(ServiceId service, BackendServer target, String path) implements Action {}
 
     /**
      * Records a decision in the log and for explanation.
--- a/core/src/main/java/org/snipeslip/core/load/ServerLoad.java
+++ b/core/src/main/java/org/snipeslip/core/load/ServerLoad.java
@@ -30,6 +30,27 @@
 
     private static final double ERROR_OUTLIER_MARGIN = 0.05;
 
+    /** A pace that was reported says nothing after this time; it changes many times a second. */
+    private static final double PACE_NANOS = 150e6;
+
+    /** Work takes up to this much longer on a server whose slots are nearly all in use. */
+    private static final double FULL_FACTOR = 0.5;
+
+    /** A failure costs the caller about this many latencies. */
+    private static final double FAILURE_LATENCIES = 6;
+
+    /** A server that says it cannot serve counts as this many times slower; it may be wrong. */
+    private static final double UNWELL_FACTOR = 3;
+
+    /** A server this much slower than the baseline is no longer at its usual pace. */
+    private static final double IDLE_FACTOR = 1.3;
+
+    /** Half of an error rate is forgotten after this time without calls. */
+    private static final double ERROR_HALF_NANOS = 3e9;
+
+    /** A server that did not answer a probe is avoided for this time. */
+    private static final long SILENT_NANOS = 1_000_000_000;
+
     /** The smallest share of a latency that is attributed to the backend server. */
     private static final double SERVER_SHARE = 0.1;
 
@@ -43,6 +64,10 @@
     private int sentSinceReport;
     private long heardAtNanos;
     private double errorRate;
+    private long errorSeenNanos;
+    private double slowdown = 1;
+    private boolean unwell;
+    private long silentUntilNanos = NEVER;
 
     /**
      * Creates the data of a backend server that is not known yet.
@@ -112,8 +137,10 @@
      * Counts a response or failure in the error rate.
      *
      * @param error whether it was an error
+     * @param nowNanos the time
      */
-    public void observeError(boolean error) {
+    public void observeError(boolean error, long nowNanos) {
+        errorSeenNanos = nowNanos;
         errorRate += ERROR_WEIGHT * ((error ? 1 : 0) - errorRate);
         service.observeError(error);
     }
@@ -157,6 +184,78 @@
         service.observeUtilisation((double) newInFlight / slots);
     }
 
+    /**
+     * Takes what came with a load report.
+     *
+     * @param newSlowdown how long work takes now, relative to the usual 1
+     * @param newUnwell whether the server says that it cannot serve
+     */
+    public void paced(double newSlowdown, boolean newUnwell) {
+        slowdown = newSlowdown;
+        unwell = newUnwell;
+        silentUntilNanos = NEVER;
+    }
+
+    /**
+     * Notes a probe without an answer.
+     *
+     * @param nowNanos the time
+     */
+    public void silent(long nowNanos) {
+        silentUntilNanos = nowNanos + SILENT_NANOS;
+    }
+
+    /**
+     * Returns the time to the answer of one more call that is expected by the last report: the wait
+     * for a slot, the work at the reported pace, the cost of failures, and the distance.
+     *
+     * @param nowNanos the time
+     * @return nanoseconds; lower is better
+     */
+    public double expectedNanos(long nowNanos) {
+        double work = workNanos(nowNanos);
+        double busy = estimatedInFlight(nowNanos);
+        double waiting = Math.max(0, busy + 1 - slots) / slots * work;
+        double usage = Math.min(1, busy / slots);
+        double expected = waiting + work * (1 + FULL_FACTOR * usage) + distance.penaltyNanos();
+        double base = service.baselineNanos();
+        double rate = errorRateNow(nowNanos);
+        if (rate > ERROR_OUTLIER_FACTOR * service.errorRate() + ERROR_OUTLIER_MARGIN) {
+            expected += rate * FAILURE_LATENCIES * base;
+        }
+        if (unwell) {
+            expected *= UNWELL_FACTOR;
+        }
+        if (nowNanos < silentUntilNanos) {
+            expected += FAILURE_LATENCIES * base;
+        }
+        return expected;
+    }
+
+    /**
+     * Tells whether the last report promises an answer in the usual time.
+     *
+     * @param nowNanos the time
+     * @return true if no slot is in use, the pace is about the usual and nothing speaks against it
+     */
+    public boolean isIdle(long nowNanos) {
+        double base = service.baselineNanos();
+        return estimatedInFlight(nowNanos) < 1
+                && expectedNanos(nowNanos) < IDLE_FACTOR * base + distance.penaltyNanos();
+    }
+
+    private double workNanos(long nowNanos) {
+        double kept =
+                reportedAtNanos == NEVER
+                        ? 0
+                        : Math.max(0, 1 - (nowNanos - reportedAtNanos) / PACE_NANOS);
+        return service.baselineNanos() * (1 + (slowdown - 1) * kept);
+    }
+
+    private double errorRateNow(long nowNanos) {
+        return errorRate * ERROR_HALF_NANOS / (ERROR_HALF_NANOS + nowNanos - errorSeenNanos);
+    }
+
     /**
      * Estimates the calls in flight of all instances: the report, decayed with its age towards the
      * service mean, and own calls sent since; at least the own calls in flight.
--- a/core/src/main/java/org/snipeslip/core/load/ServiceLoad.java
+++ b/core/src/main/java/org/snipeslip/core/load/ServiceLoad.java
@@ -40,6 +40,18 @@
         baselineNanos += weight * (meanNanos - baselineNanos);
     }
 
+    /**
+     * Takes what the service is expected to need, until the first response shows it.
+     *
+     * @param latencyNanos expected latency
+     */
+    public void expect(double latencyNanos) {
+        if (!hasSample) {
+            meanNanos = latencyNanos;
+            baselineNanos = latencyNanos;
+        }
+    }
+
     /**
      * Takes a load report of one backend server.
      *
--- a/core/src/main/java/org/snipeslip/core/selection/PolicyName.java
+++ b/core/src/main/java/org/snipeslip/core/selection/PolicyName.java
@@ -4,6 +4,8 @@
 public enum PolicyName {
     /** Expected time from load, latency, errors and distance. */
     ADAPTIVE,
+    /** Expected time from load that is asked for each call before it is sent. */
+    PROBED,
     /** Uniform random choice. */
     RANDOM,
     /** In turn. */
@@ -17,9 +19,9 @@
      * Tells whether adaptive limits, warm-up and hedges accompany the policy. The baselines run
      * with the connection limit only, as they do where they are used alone.
      *
-     * @return true for the adaptive policy
+     * @return true for the policies that are no baselines
      */
     public boolean isAdaptive() {
-        return this == ADAPTIVE;
+        return this == ADAPTIVE || this == PROBED;
     }
 }
--- a/core/src/main/java/org/snipeslip/core/selection/SelectionPolicy.java
+++ b/core/src/main/java/org/snipeslip/core/selection/SelectionPolicy.java
@@ -5,6 +5,7 @@
 /** Chooses one of the eligible backend servers. One instance serves one shard. */
 public sealed interface SelectionPolicy
         permits AdaptivePolicy,
+                ProbedPolicy,
                 RandomPolicy,
                 RoundRobinPolicy,
                 LeastInFlightPolicy,
@@ -37,6 +38,7 @@
     static SelectionPolicy of(PolicyName name) {
         return switch (name) {
             case ADAPTIVE -> new AdaptivePolicy();
+            case PROBED -> new ProbedPolicy();
             case RANDOM -> new RandomPolicy();
             case ROUND_ROBIN -> new RoundRobinPolicy();
             case LEAST_IN_FLIGHT -> new LeastInFlightPolicy();
--- a/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
@@ -13,6 +13,8 @@
  * @param notRun present in a response if the backend server did not begin the call
  * @param expectedServer names the backend server that a call is meant for; a server of another name
  *     refuses it with 421; null if servers do not check it
+ * @param serverName names the backend server in its answers to probes; null if they carry no name,
+ *     and only those with status 200 count
  * @param loadReader reads the value of the load field, which may be null
  * @param callerNamesCall whether callers set the request id and responses of backend servers repeat
  *     it; otherwise the instance sets it
@@ -28,6 +30,7 @@
         HttpString load,
         HttpString notRun,
         HttpString expectedServer,
+        HttpString serverName,
         Function<String, LoadReport> loadReader,
         boolean callerNamesCall,
         boolean carriesCallTree,
@@ -43,6 +46,7 @@
                     SnipeslipHeaders.LOAD,
                     SnipeslipHeaders.NOT_RUN,
                     null,
+                    null,
                     LoadHeader::parse,
                     false,
                     true,
--- a/server/src/main/java/org/snipeslip/server/http/HttpMessageClient.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpMessageClient.java
@@ -3,17 +3,11 @@
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
-import io.undertow.util.StringReadChannelListener;
-import io.undertow.util.StringWriteChannelListener;
 import java.io.IOException;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -71,7 +65,7 @@
     }
 
     /** One request and its result. */
-    private final class Transaction {
+    private final class Transaction implements MessageExchange.Listener {
         private final HttpMessage message;
         private final HttpMessageListener listener;
         private boolean done;
@@ -101,7 +95,17 @@
         private void connect() {
             UndertowClient.getInstance()
                     .connect(
-                            callback(this::write),
+                            new ClientCallback<ClientConnection>() {
+                                @Override
+                                public void completed(ClientConnection open) {
+                                    write(open);
+                                }
+
+                                @Override
+                                public void failed(IOException e) {
+                                    fail(e);
+                                }
+                            },
                             message.origin(),
                             ioThread,
                             buffers,
@@ -115,53 +119,25 @@
             }
             connection = open;
             sent = true;
-            byte[] body = message.body().getBytes(StandardCharsets.UTF_8);
-            ClientRequest request = new ClientRequest();
-            request.setMethod(HttpString.tryFromString(message.method()));
-            request.setPath(message.target());
-            request.getRequestHeaders().put(Headers.HOST, message.origin().getAuthority());
-            message.headers()
-                    .forEach(
-                            (name, value) ->
-                                    request.getRequestHeaders().put(new HttpString(name), value));
-            if (body.length > 0) {
-                request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
-            }
-            open.sendRequest(request, callback(exchange -> exchanged(exchange, body.length > 0)));
-        }
-
-        private void exchanged(ClientExchange exchange, boolean hasBody) {
-            exchange.setResponseListener(callback(this::answered));
-            if (hasBody) {
-                new StringWriteChannelListener(message.body(), StandardCharsets.UTF_8)
-                        .setup(exchange.getRequestChannel());
-            }
-        }
-
-        private void answered(ClientExchange exchange) {
-            new StringReadChannelListener(buffers) {
-                @Override
-                protected void stringDone(String text) {
-                    succeed(exchange, text);
-                }
-
-                @Override
-                protected void error(IOException e) {
-                    fail(e);
-                }
-            }.setup(exchange.getResponseChannel());
+            new MessageExchange(open, buffers, this).send(message);
         }
 
-        private void succeed(ClientExchange exchange, String text) {
+        @Override
+        public void answered(ClientResponse response, String text) {
             if (finish()) {
                 giveBack(message.origin(), connection);
                 listener.answered(
-                        exchange.getResponse().getResponseCode(),
-                        name -> exchange.getResponse().getResponseHeaders().getFirst(name),
+                        response.getResponseCode(),
+                        name -> response.getResponseHeaders().getFirst(name),
                         text);
             }
         }
 
+        @Override
+        public void failed(IOException e) {
+            fail(e);
+        }
+
         private void fail(IOException e) {
             if (finish()) {
                 IoUtils.safeClose(connection);
@@ -177,20 +153,6 @@
             timeout.remove();
             return true;
         }
-
-        private <T> ClientCallback<T> callback(java.util.function.Consumer<T> onCompleted) {
-            return new ClientCallback<>() {
-                @Override
-                public void completed(T result) {
-                    onCompleted.accept(result);
-                }
-
-                @Override
-                public void failed(IOException e) {
-                    fail(e);
-                }
-            };
-        }
     }
 
     private ClientConnection takeIdle(URI origin) {
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/MessageExchange.java
@@ -0,0 +1,93 @@
+package org.snipeslip.server.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.StringReadChannelListener;
+import io.undertow.util.StringWriteChannelListener;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** Sends one small message on an open connection and reads the response whole. */
+final class MessageExchange {
+    private final ClientConnection connection;
+    private final ByteBufferPool buffers;
+    private final Listener listener;
+
+    MessageExchange(ClientConnection connection, ByteBufferPool buffers, Listener listener) {
+        this.connection = connection;
+        this.buffers = buffers;
+        this.listener = listener;
+    }
+
+    void send(HttpMessage message) {
+        byte[] body = message.body().getBytes(StandardCharsets.UTF_8);
+        ClientRequest request = new ClientRequest();
+        request.setMethod(HttpString.tryFromString(message.method()));
+        request.setPath(message.target());
+        request.getRequestHeaders().put(Headers.HOST, message.origin().getAuthority());
+        message.headers()
+                .forEach(
+                        (name, value) ->
+                                request.getRequestHeaders().put(new HttpString(name), value));
+        if (body.length > 0) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        }
+        connection.sendRequest(
+                request,
+                new Callback() {
+                    @Override
+                    public void completed(ClientExchange exchange) {
+                        sent(exchange, message.body());
+                    }
+                });
+    }
+
+    private void sent(ClientExchange exchange, String body) {
+        exchange.setResponseListener(
+                new Callback() {
+                    @Override
+                    public void completed(ClientExchange answered) {
+                        read(answered);
+                    }
+                });
+        if (!body.isEmpty()) {
+            new StringWriteChannelListener(body, StandardCharsets.UTF_8)
+                    .setup(exchange.getRequestChannel());
+        }
+    }
+
+    private void read(ClientExchange exchange) {
+        new StringReadChannelListener(buffers) {
+            @Override
+            protected void stringDone(String text) {
+                listener.answered(exchange.getResponse(), text);
+            }
+
+            @Override
+            protected void error(IOException e) {
+                listener.failed(e);
+            }
+        }.setup(exchange.getResponseChannel());
+    }
+
+    /** Reports a failure of the connection. */
+    private abstract class Callback implements ClientCallback<ClientExchange> {
+        @Override
+        public void failed(IOException e) {
+            listener.failed(e);
+        }
+    }
+
+    /** Takes the response. */
+    interface Listener {
+        void answered(ClientResponse response, String body);
+
+        void failed(IOException e);
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/http/ProblemJson.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProblemJson.java
@@ -26,7 +26,7 @@
     /** Sends a refusal of the state machine. */
     static void send(
             HttpServerExchange exchange, RequestId request, Refusal refusal, HttpDialect dialect) {
-        int status = refusal.reason().status();
+        int status = refusal.status();
         List<String> serveIn =
                 refusal.serveIn().stream().sorted().map(region -> region.value()).toList();
         if (refusal.retryAfterMillis() > 0) {
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -24,6 +24,7 @@
 import org.snipeslip.server.http.CallerConnections;
 import org.snipeslip.server.http.CallerListener;
 import org.snipeslip.server.http.HttpMessageClient;
+import org.snipeslip.server.http.ProbeSender;
 import org.snipeslip.server.log.DecisionLog;
 import org.snipeslip.server.log.RecentDecisions;
 import org.snipeslip.server.operator.OperatorHandler;
@@ -91,7 +92,13 @@
                 new InstanceRuntime(
                         instance,
                         StoreCalls.of(storeFactory.apply(client)),
-                        client,
+                        events ->
+                                new ProbeSender(
+                                        connections,
+                                        worker.getIoThread(),
+                                        buffers,
+                                        settings.dialect(),
+                                        events),
                         timers,
                         metrics,
                         this::record,
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -23,6 +23,7 @@
 import org.snipeslip.server.http.CallerListener;
 import org.snipeslip.server.http.HttpDialect;
 import org.snipeslip.server.http.HttpMessageClient;
+import org.snipeslip.server.http.ProbeSender;
 import org.snipeslip.server.log.DecisionLog;
 import org.snipeslip.server.log.RecentDecisions;
 import org.snipeslip.server.operator.OperatorHandler;
@@ -86,7 +87,13 @@
                 new InstanceRuntime(
                         instance,
                         StoreCalls.of(new ObjectApiClient(client, settings.objectApi())),
-                        client,
+                        events ->
+                                new ProbeSender(
+                                        connections,
+                                        worker.getIoThread(),
+                                        buffers,
+                                        HttpDialect.SNIPESLIP,
+                                        events),
                         timers,
                         metrics,
                         this::record,
--- a/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snipeslip.core.call.DecisionRecord;
@@ -18,7 +19,6 @@
 import org.snipeslip.core.store.StoreAnswer;
 import org.snipeslip.server.http.CallEvents;
 import org.snipeslip.server.http.CallRelay;
-import org.snipeslip.server.http.HttpMessageClient;
 import org.snipeslip.server.http.ProbeSender;
 import org.snipeslip.server.operator.ServerMetrics;
 
@@ -40,7 +40,7 @@
     InstanceRuntime(
             StateMachine instance,
             StoreCalls stores,
-            HttpMessageClient probeClient,
+            Function<Consumer<Event>, ProbeSender> probes,
             Timers timers,
             ServerMetrics metrics,
             Consumer<DecisionRecord> decisions,
@@ -48,7 +48,7 @@
             Consumer<Action.FinishStop> onFinishStop) {
         this.instance = instance;
         this.stores = stores;
-        this.probes = new ProbeSender(probeClient, this::handle);
+        this.probes = probes.apply(this::handle);
         this.timers = timers;
         this.metrics = metrics;
         this.decisions = decisions;
