Bound the wait at full servers by the target; log calls, store and settings

Engineers had no line for the end of a call, and SIGHUP ended the process.

Ruled out: processor time of the instances (0.07 cores).

Change: WaitTolerance refuses a call, as not run and with the time to come back, if no slot is free and the expected answer misses the target; urgent routes bear longer queues. CallLog writes the end of each call, ObservedStore the loss and return of the store, SettingsWatch a changed or refused file; lines pass a bounded queue that never blocks.

--- a/cli/src/main/java/org/snipeslip/cli/Console.java
+++ b/cli/src/main/java/org/snipeslip/cli/Console.java
@@ -20,7 +20,8 @@
 
     void json(Object value) {
         try {
-            out.println(new ObjectMapper()
+            out.println(
+                    new ObjectMapper()
                             .enable(SerializationFeature.INDENT_OUTPUT)
                             .writeValueAsString(value));
         } catch (JsonProcessingException e) {
--- a/cli/src/main/java/org/snipeslip/cli/PlatformCommand.java
+++ b/cli/src/main/java/org/snipeslip/cli/PlatformCommand.java
@@ -11,12 +11,16 @@
 import org.snipeslip.platform.BootFile;
 import org.snipeslip.platform.BootSettings;
 import org.snipeslip.platform.PlatformProcess;
+import org.snipeslip.platform.SettingsWatch;
 import org.snipeslip.server.log.LogSetup;
 import org.snipeslip.server.runtime.DiscoveryProcess;
 import org.snipeslip.server.runtime.StopSignals;
 
 /** Runs an entry instance on the users' platform until its planned stop is complete. */
 final class PlatformCommand extends Command {
+    /** The file may change without a signal; none of its settings is urgent. */
+    private static final long SETTINGS_MILLIS = 10_000;
+
     private final OptionSpec<String> file =
             parser().accepts("settings", "Settings that the platform wrote.")
                     .withRequiredArg()
@@ -32,9 +36,10 @@
     @Override
     ExitCode run(OptionSet options, Console console) throws IOException, InterruptedException {
         System.setProperty(LogSetup.TARGET_PROPERTY, "System.out");
+        System.setProperty(LogSetup.ASYNC_PROPERTY, "true");
         String path = options.valueOf(file);
-        Either<List<BootFault>, BootSettings> settings =
-                BootFile.read(Files.readString(Path.of(path)));
+        String text = Files.readString(Path.of(path));
+        Either<List<BootFault>, BootSettings> settings = BootFile.read(text);
         if (settings.isLeft()) {
             settings.getLeft().forEach(fault -> console.err().println(path + ": " + fault));
             return ExitCode.BAD_INPUT;
@@ -45,7 +50,13 @@
         }
         try (DiscoveryProcess process = PlatformProcess.start(settings.get())) {
             StopSignals.onTerminate(process::requestStop);
-            process.awaitStop();
+            SettingsWatch watch = new SettingsWatch(Path.of(path), text, settings.get());
+            StopSignals.onHangUp(() -> watch.check(true));
+            while (!process.awaitStop(SETTINGS_MILLIS)) {
+                watch.check(false);
+            }
+        } finally {
+            LogSetup.close();
         }
         return ExitCode.OK;
     }
--- a/cli/src/test/java/org/snipeslip/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/snipeslip/cli/CommandLineTest.java
@@ -179,7 +179,7 @@
                         .map(line -> line.strip().split(" ")[0])
                         .toList();
         assertThat(commands)
-                .hasSize(11)
+                .hasSize(12)
                 .allSatisfy(command -> assertThat(readme).contains("| `" + command));
         run("run", "--settings", file("unknown.yaml", "unknown: 1\n"));
         String keys = err().replaceAll("(?s).*allowed \\[([^]]*)].*", "$1");
--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -280,6 +280,7 @@
                         route,
                         homeRegions,
                         organisation == null ? 1 : organisation.weight(),
+                        nowNanos,
                         nowNanos + remainingNanos);
         int retries = (route.maxTries() > 0 ? route.maxTries() : settings.maxTries()) - 1;
         call.retriesLeft =
--- a/core/src/main/java/org/snipeslip/core/call/CallState.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallState.java
@@ -16,6 +16,7 @@
     final Route route;
     final HomeRegions homeRegions;
     final int weight;
+    final long arrivedNanos;
     final long deadlineNanos;
     final boolean idempotent;
 
@@ -46,12 +47,14 @@
             Route route,
             HomeRegions homeRegions,
             int weight,
+            long arrivedNanos,
             long deadlineNanos) {
         this.request = request;
         this.head = head;
         this.route = route;
         this.homeRegions = homeRegions;
         this.weight = weight;
+        this.arrivedNanos = arrivedNanos;
         this.deadlineNanos = deadlineNanos;
         this.idempotent = route.isIdempotent(head.method());
     }
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -35,6 +35,9 @@
     private static final int MAX_EXCLUDED = 4;
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** Refused callers come back spread from half the expected time to one and a half of it. */
+    private static final double RETRY_SPREAD_LEAST = 0.5;
+
     /** A target leaves room for about this many times the work itself. */
     private static final double WORK_PER_TARGET = 3;
 
@@ -45,6 +48,7 @@
     private final boolean adaptive;
     private final boolean probed;
     private final ServiceLoad serviceLoad = new ServiceLoad();
+    private final WaitTolerance tolerance = new WaitTolerance();
     private final Map<BackendServerId, ServerState> byId = new HashMap<>();
 
     /** Removed servers with calls in flight, which count again if the server is added again. */
@@ -179,11 +183,6 @@
         return targets;
     }
 
-    /** Returns the expected time of the last choice in nanoseconds. */
-    double chosenNanos() {
-        return eligible.score(chosen);
-    }
-
     /**
      * Tells whether the last choice failed only because servers have no room now.
      *
@@ -246,16 +245,27 @@
 
     /** Takes the time that the routes of a service ask for as a first guess of its work. */
     void expectWork(Collection<Route> routes, ServiceId service) {
-        for (Route route : routes) {
-            if (route.targetLatencyMillis() > 0 && route.sendsTo(service)) {
-                serviceLoad.expect(route.targetLatencyMillis() * NANOS_PER_MILLI / WORK_PER_TARGET);
-            }
+        tolerance.configure(routes, service);
+        double targetNanos = tolerance.shortestTargetNanos();
+        if (targetNanos > 0) {
+            serviceLoad.expect(targetNanos / WORK_PER_TARGET);
+        }
+    }
+
+    /** Tells whether the chosen server would answer a call too late for it to be sent. */
+    boolean isTooLate(CallState call, boolean freeSlot, long nowNanos) {
+        double expectedNanos = eligible.score(chosen);
+        if (expectedNanos > call.deadlineNanos - nowNanos) {
+            return true;
         }
+        double waitedNanos = nowNanos - call.arrivedNanos;
+        return !freeSlot && waitedNanos + expectedNanos > tolerance.nanos(call.route);
     }
 
-    /** Returns when one of the calls at a busy server will have ended, in milliseconds. */
-    long waitMillis(ServerState state, long nowNanos) {
-        return Math.max(1, (long) (state.load.expectedNanos(nowNanos) / NANOS_PER_MILLI));
+    /** Returns when a full server will have room, at random around that time. */
+    long retryMillis() {
+        double spread = RETRY_SPREAD_LEAST + random.nextDouble();
+        return Math.max(1, (long) (spread * eligible.score(chosen) / NANOS_PER_MILLI));
     }
 
     boolean isAdaptive() {
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -272,8 +272,8 @@
             }
         } else if (chosen == null) {
             admission.waitOrRefuse(call, nowNanos, outbox);
-        } else if (pool.chosenNanos() > call.deadlineNanos - nowNanos) {
-            admission.refuseBusy(call, chosen, nowNanos, outbox);
+        } else if (pool.isTooLate(call, free, nowNanos)) {
+            admission.refuseBusy(call, outbox);
         } else {
             send(call, chosen, false, nowNanos, outbox);
         }
--- a/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
@@ -31,10 +31,9 @@
         }
     }
 
-    /** Refuses a call that could not be answered before its deadline. */
-    void refuseBusy(CallState call, ServerState chosen, long nowNanos, Outbox outbox) {
-        long retryMillis = pool.waitMillis(chosen, nowNanos);
-        calls.refuse(call, RefusalReason.OVERLOADED, retryMillis, outbox);
+    /** Refuses a call that the last choice would answer too late. */
+    void refuseBusy(CallState call, Outbox outbox) {
+        calls.refuse(call, RefusalReason.OVERLOADED, pool.retryMillis(), outbox);
     }
 
     void dropExpired(long nowNanos, Outbox outbox) {
--- a/core/src/test/java/org/snipeslip/core/call/DecisionBenchmark.java
+++ b/core/src/test/java/org/snipeslip/core/call/DecisionBenchmark.java
@@ -60,6 +60,7 @@
                         config.routes().values().iterator().next(),
                         Fleets.homeRegions(config, head),
                         1,
+                        0,
                         Long.MAX_VALUE);
         for (ServerState state : pool.all()) {
             state.load.reported(random.nextInt(3), 2, 0);
--- a/server/src/main/java/org/snipeslip/server/http/CallRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallRelay.java
@@ -28,6 +28,7 @@
     private final Map<TryId, BackendTry> tries = new HashMap<>(2);
     private boolean requestRead;
     private boolean ended;
+    private long serverNanos;
 
     CallRelay(
             RequestId request,
@@ -115,6 +116,7 @@
 
     /** The caller has its whole answer. */
     void completed(Event.TryCompleted event, long backendNanos) {
+        serverNanos = backendNanos;
         if (end(CallResult.RELAYED)) {
             shell.metrics().completed(System.nanoTime() - arrivedNanos, backendNanos);
             Responses.closeIfUnread(exchange);
@@ -167,6 +169,9 @@
 
     private void refuse(Refusal refusal) {
         boolean started = exchange.isResponseStarted();
+        if (!started) {
+            exchange.setStatusCode(refusal.status());
+        }
         if (!end(CallResult.REFUSED)) {
             return;
         }
@@ -201,9 +206,16 @@
         body.release();
         shell.events().forget(request);
         shell.metrics().ended(result);
+        shell.logEnded(request, result, status(result), arrivedNanos, serverNanos, tries.size());
         return true;
     }
 
+    private int status(CallResult result) {
+        return result == CallResult.CALLER_GONE && !exchange.isResponseStarted()
+                ? 0
+                : exchange.getStatusCode();
+    }
+
     private void cancelAll() {
         List<BackendTry> open = new ArrayList<>(tries.values());
         open.forEach(BackendTry::cancel);
--- a/server/src/main/java/org/snipeslip/server/http/CallShell.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallShell.java
@@ -3,6 +3,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import org.snipeslip.core.id.RequestId;
+import org.snipeslip.server.log.CallLog;
+import org.snipeslip.server.operator.CallResult;
 import org.snipeslip.server.operator.ServerMetrics;
 
 /** What all calls of a process share. */
@@ -42,6 +44,20 @@
         return metrics;
     }
 
+    /** Logs the end of a call where the dialect asks for it. */
+    void logEnded(
+            RequestId request,
+            CallResult result,
+            int status,
+            long arrivedNanos,
+            long serverNanos,
+            int tries) {
+        if (dialect.logsEnds()) {
+            long totalNanos = System.nanoTime() - arrivedNanos;
+            CallLog.ended(request, result, status, totalNanos, serverNanos, tries);
+        }
+    }
+
     /** Names the request, and announces the end of the connection where it must not go on. */
     void finishHead(HttpServerExchange exchange, RequestId request, boolean requestRead) {
         exchange.getResponseHeaders().put(dialect.requestId(), request.value());
--- a/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
@@ -23,6 +23,7 @@
  * @param fractionalRetryAfter whether Retry-After may carry fractions of a second
  * @param defaultIdleMillis how long a connection to a backend server may be idle before its next
  *     use, where the server states no timeout
+ * @param logsEnds whether the end of each call is logged beside its decisions
  */
 public record HttpDialect(
         HttpString requestId,
@@ -35,7 +36,8 @@
         boolean callerNamesCall,
         boolean carriesCallTree,
         boolean fractionalRetryAfter,
-        long defaultIdleMillis) {
+        long defaultIdleMillis,
+        boolean logsEnds) {
     private static final long OWN_IDLE_MILLIS = 60_000;
 
     /** The header fields of this project. */
@@ -51,5 +53,6 @@
                     false,
                     true,
                     false,
-                    OWN_IDLE_MILLIS);
+                    OWN_IDLE_MILLIS,
+                    false);
 }
--- a/server/src/main/java/org/snipeslip/server/log/JsonLineEncoder.java
+++ b/server/src/main/java/org/snipeslip/server/log/JsonLineEncoder.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Collection;
 import java.util.Map;
 import org.slf4j.event.KeyValuePair;
 
@@ -74,7 +75,7 @@
                 }
                 json.writeEndObject();
             }
-            case Iterable<?> elements -> {
+            case Collection<?> elements -> {
                 json.writeStartArray();
                 for (Object element : elements) {
                     write(json, element);
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -91,7 +91,7 @@
         runtime =
                 new InstanceRuntime(
                         instance,
-                        StoreCalls.of(storeFactory.apply(client)),
+                        StoreCalls.of(new ObservedStore(storeFactory.apply(client))),
                         events ->
                                 new ProbeSender(
                                         connections,
@@ -132,16 +132,33 @@
                                 settings.dialect(),
                                 settings.fleet().instance().value()));
         timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
+        LOG.atInfo()
+                .addKeyValue("instance", settings.fleet().instance())
+                .addKeyValue("failureDomain", settings.failureDomain())
+                .addKeyValue("region", settings.region())
+                .addKeyValue("callers", settings.callerAddress())
+                .log("started");
         runtime.handle(new Event.Started());
     }
 
     /** Begins the planned stop. A second request ends it at once. */
     public void requestStop() {
-        LOG.info("planned stop requested, {} calls open", metrics.openCalls());
+        LOG.atInfo().addKeyValue("openCalls", metrics.openCalls()).log("planned stop requested");
         callers.leave();
         runtime.handle(new Event.StopRequested());
     }
 
+    /**
+     * Waits a while for the planned stop to be complete.
+     *
+     * @param millis longest wait
+     * @return true if it is complete
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public boolean awaitStop(long millis) throws InterruptedException {
+        return stopped.await(millis, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Waits until the planned stop is complete.
      *
@@ -172,7 +189,7 @@
     }
 
     private void finishStop(Action.FinishStop action) {
-        LOG.info("planned stop done, {} calls open", action.openCalls());
+        LOG.atInfo().addKeyValue("openCalls", action.openCalls()).log("planned stop done");
         stopped.countDown();
     }
 
--- a/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
@@ -9,6 +9,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snipeslip.core.call.DecisionRecord;
+import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.config.Service;
 import org.snipeslip.core.discovery.FleetAnswer;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.instance.Action;
@@ -100,8 +103,7 @@
                                 a.delayNanos(),
                                 timer -> handle(new Event.TimerFired(timer)));
                 case Action.RecordDecision a -> decisions.accept(a.decision());
-                case Action.ConfigAdopted a ->
-                        LOG.info("configuration generation {} in force", a.config().generation());
+                case Action.ConfigAdopted a -> logAdopted(a.config());
                 case Action.FinishStop a -> onFinishStop.accept(a);
                 case Action.SendPeer a -> peers.accept(a.address(), a.message());
                 case Action.SendProbe a -> probes.send(a);
@@ -109,6 +111,29 @@
         }
     }
 
+    private static void logAdopted(ConfigSet config) {
+        int servers = 0;
+        int draining = 0;
+        for (Service service : config.services().values()) {
+            servers += service.backendServers().size();
+            for (BackendServer server : service.backendServers()) {
+                draining += server.draining() ? 1 : 0;
+            }
+        }
+        List<String> outOfService =
+                config.failureDomains().values().stream()
+                        .filter(domain -> !domain.inService())
+                        .map(domain -> domain.id().value())
+                        .toList();
+        LOG.atInfo()
+                .addKeyValue("generation", config.generation().number())
+                .addKeyValue("routes", config.routes().size())
+                .addKeyValue("backendServers", servers)
+                .addKeyValue("draining", draining)
+                .addKeyValue("outOfService", outOfService)
+                .log("configuration in force");
+    }
+
     private void answered(Action.CallStore order, StoreAnswer answer) {
         metrics.storeAnswered(answer instanceof StoreAnswer.Failed);
         handle(new Event.StoreAnswered(order.call(), answer));
