--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -38,6 +38,9 @@
     /** Refused callers come back spread from half the expected time to one and a half of it. */
     private static final double RETRY_SPREAD_LEAST = 0.5;
 
+    /** Expected times are means; the rest of the target is room for their spread. */
+    private static final double IN_TIME_PART = 0.75;
+
     /** A target leaves room for about this many times the work itself. */
     private static final double WORK_PER_TARGET = 3;
 
@@ -252,6 +255,13 @@
         }
     }
 
+    /** Tells whether the chosen server, though full, would answer well within the target. */
+    boolean isInTime(CallState call, long nowNanos) {
+        double waitedNanos = nowNanos - call.arrivedNanos;
+        double targetNanos = NANOS_PER_MILLI * call.route.targetLatencyMillis();
+        return waitedNanos + eligible.score(chosen) < IN_TIME_PART * targetNanos;
+    }
+
     /** Tells whether the chosen server would answer a call too late for it to be sent. */
     boolean isTooLate(CallState call, boolean freeSlot, long nowNanos) {
         double expectedNanos = eligible.score(chosen);
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -262,7 +262,8 @@
         }
         ServerState chosen = pool.choose(call, nowNanos);
         boolean free = chosen != null && chosen.load.hasFreeSlot(nowNanos);
-        if (!free && placements.widen(placement, probes.path(), nowNanos, outbox)) {
+        boolean near = free || chosen != null && pool.isInTime(call, nowNanos);
+        if (!near && placements.widen(placement, probes.path(), nowNanos, outbox)) {
             return;
         }
         if (placement.hedge) {
