--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/discovery/FleetViewTest.java
@@ -0,0 +1,130 @@
+package org.snipeslip.core.discovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.config.WarmUpPlan;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.id.ServiceId;
+
+/** Objects that arrive late, malformed, or naming what is not configured. */
+class FleetViewTest {
+    private static final long SECOND_NANOS = 1_000_000_000;
+    private static final FailureDomainId ZONE = new FailureDomainId("za");
+    private static final ServiceId SERVICE = new ServiceId("s");
+    private static final FleetSettings SETTINGS =
+            new FleetSettings(
+                    new InstanceId("i"),
+                    Map.of(ZONE, new RegionId("ra")),
+                    new FollowSettings(25_000, 2_500, 1_000, 300, 800, 100, 600, 500, 2_000, 1),
+                    1.5,
+                    5,
+                    24);
+
+    private final FleetView view = new FleetView(SETTINGS);
+    private final Map<String, FleetObject> servers = new HashMap<>();
+    private final Map<String, FleetObject> evacuations = new HashMap<>();
+
+    @ParameterizedTest
+    @CsvSource({"7, 9, 9", "9, 7, 9", "9, 9, 9"})
+    void neverGoesBackToAnOlderVersion(long first, long second, long inForce) {
+        view.configure(config(first));
+        view.configure(config(second));
+        assertThat(view.config().version()).isEqualTo(inForce);
+    }
+
+    @Test
+    void leavesOutServersThatCannotBeUsed() {
+        view.configure(config(1));
+        put(server("good", "s", "za", 0), 1);
+        put(server("unknown-service", "t", "za", 0), 2);
+        put(server("unknown-domain", "s", "zz", 0), 3);
+        servers.put(
+                "bad", new FleetObject("bad", 4, false, new FleetRecord.Malformed("no address")));
+
+        assertThat(set(0).services().get(SERVICE).backendServers())
+                .extracting(server -> server.id().value())
+                .containsExactly("good");
+    }
+
+    /** An entry that does not change must not keep its server cold for ever. */
+    @Test
+    void aWarmUpEndsThoughTheEntryStaysTheSame() {
+        view.configure(config(1));
+        put(server("a", "s", "za", 3 * SECOND_NANOS), 1);
+        long first = only(set(SECOND_NANOS)).warmUp().coldUntilNanos();
+        long later = only(set(9 * SECOND_NANOS)).warmUp().coldUntilNanos();
+
+        assertThat(first).isEqualTo(4 * SECOND_NANOS);
+        assertThat(later).isEqualTo(first);
+        put(server("a", "s", "za", 0), 2);
+        assertThat(only(set(9 * SECOND_NANOS)).warmUp().coldUntilNanos())
+                .isEqualTo(WarmUpPlan.WARM);
+    }
+
+    /** What a cold server bears, by factor and slack: 7.1 x 1.5 + 5. */
+    @Test
+    void boundsCallsToAColdServer() {
+        view.configure(config(1));
+        put(server("a", "s", "za", SECOND_NANOS), 1);
+        assertThat(only(set(0)).warmUp().callsPerSecond()).isEqualTo(15);
+    }
+
+    @Test
+    void anEvacuationComesAndGoes() {
+        view.configure(config(1));
+        FleetRecord record = new FleetRecord.Evacuation(ZONE);
+        evacuations.put("za", new FleetObject("za", 5, false, record));
+        ConfigSet during = set(0);
+        evacuations.clear();
+        ConfigSet after = set(0);
+
+        assertThat(during.failureDomains().get(ZONE).inService()).isFalse();
+        assertThat(after.failureDomains().get(ZONE).inService()).isTrue();
+        assertThat(after.generation().isNewerThan(during.generation())).isTrue();
+    }
+
+    private ConfigSet set(long nowNanos) {
+        return view.next(servers, evacuations, nowNanos);
+    }
+
+    private BackendServer only(ConfigSet set) {
+        return set.services().get(SERVICE).backendServers().getFirst();
+    }
+
+    private void put(DiscoveredServer server, long revision) {
+        servers.put(
+                server.id().value(),
+                new FleetObject(
+                        server.id().value(), revision, false, new FleetRecord.Server(server)));
+    }
+
+    private static DiscoveredServer server(String id, String service, String zone, long cold) {
+        return new DiscoveredServer(
+                new BackendServerId(id),
+                new ServiceId(service),
+                "127.0.0.1",
+                80,
+                new FailureDomainId(zone),
+                2,
+                false,
+                cold,
+                1);
+    }
+
+    private static FleetConfig config(long version) {
+        ServicePlan plan = new ServicePlan(SERVICE, "/health", 220, 3 * SECOND_NANOS, 7.1);
+        return new FleetConfig(
+                version, List.of(), List.of(plan), new CallerBounds(1_024, 1_024, 1_000, 1_000));
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/snipeslip/server/http/NamedCallsTest.java
@@ -0,0 +1,106 @@
+package org.snipeslip.server.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipeslip.core.call.LoadReport;
+import org.snipeslip.core.call.TryFailure;
+import org.snipeslip.core.instance.Event;
+
+/** Calls that callers name, at backend servers that repeat the name and check their own. */
+class NamedCallsTest {
+    private static final HttpDialect NAMED =
+            new HttpDialect(
+                    new HttpString("Call-Name"),
+                    new HttpString("Time-Left"),
+                    new HttpString("Load"),
+                    new HttpString("Refused"),
+                    new HttpString("Meant-For"),
+                    new HttpString("Server-Name"),
+                    value -> LoadReport.UNKNOWN,
+                    true,
+                    false,
+                    true,
+                    1_000,
+                    false);
+    private static final String GET =
+            "GET /a?b HTTP/1.1\r\nHost: h\r\nCall-Name: c1\r\nTime-Left: 900\r\n\r\n";
+
+    private ShellFixture shell;
+
+    @BeforeEach
+    void start() throws IOException {
+        shell = new ShellFixture(10, NAMED);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        shell.close();
+    }
+
+    /** An answer that comes late on a kept connection belongs to the call before. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Call-Name: c0\r\n", ""})
+    void anAnswerWithAnotherNameReachesNoCaller(String name) throws Exception {
+        try (RawSocket caller = shell.call(GET)) {
+            RawSocket connection = shell.backend.acceptRequest();
+            connection.write("HTTP/1.1 200 OK\r\n" + name + "Content-Length: 2\r\n\r\nno");
+
+            assertThat(shell.engine.await(Event.TryFailed.class).failure())
+                    .isEqualTo(TryFailure.MALFORMED);
+            assertThat(caller.readHead()).startsWith("HTTP/1.1 502 ");
+            assertThat(connection.readRest().text()).isEmpty();
+        }
+    }
+
+    /** Only these answers say that a call did not run. */
+    @ParameterizedTest
+    @CsvSource({"503, true", "429, true", "400, true", "421, false", "421, true"})
+    void refusalsAreNotRuns(int status, boolean marked) throws Exception {
+        try (RawSocket caller = shell.call(GET)) {
+            RawSocket connection = shell.backend.acceptRequest();
+            String mark = marked ? "Refused: 1\r\n" : "";
+            connection.write(
+                    "HTTP/1.1 "
+                            + status
+                            + " X\r\nCall-Name: c1\r\n"
+                            + mark
+                            + "Content-Length: 0\r\n\r\n");
+            assertThat(shell.engine.await(Event.TryFailed.class).failure())
+                    .isEqualTo(TryFailure.REFUSED_NOT_RUN);
+            assertThat(caller.readHead()).isNotEmpty();
+        }
+    }
+
+    /** Without the mark, a 503 of a backend server is an answer like any other. */
+    @Test
+    void anUnmarkedFailureIsPassedOn() throws Exception {
+        try (RawSocket caller = shell.call(GET)) {
+            RawSocket connection = shell.backend.acceptRequest();
+            connection.write("HTTP/1.1 503 X\r\nCall-Name: c1\r\nContent-Length: 0\r\n\r\n");
+            assertThat(caller.readHead()).startsWith("HTTP/1.1 503 ");
+            shell.engine.await(Event.TryCompleted.class);
+        }
+    }
+
+    @Test
+    void passesTheCallOnAsTheCallerNamedIt() throws Exception {
+        try (RawSocket caller = shell.call(GET)) {
+            String head = shell.backend.accept().readHead();
+            assertThat(head)
+                    .startsWith("GET /a?b HTTP/1.1")
+                    .contains("Call-Name: c1\r\n")
+                    .contains("Meant-For: b")
+                    .doesNotContain("Forwarded")
+                    .doesNotContain("Snipeslip-");
+            assertThat(caller).isNotNull();
+        }
+    }
+}
--- a/server/src/test/java/org/snipeslip/server/http/ShellFixture.java
+++ b/server/src/test/java/org/snipeslip/server/http/ShellFixture.java
@@ -29,6 +29,10 @@
     }
 
     ShellFixture(int connectionLimit) throws IOException {
+        this(connectionLimit, HttpDialect.SNIPESLIP);
+    }
+
+    ShellFixture(int connectionLimit, HttpDialect dialect) throws IOException {
         engine = new ScriptedEngine(backend.server(connectionLimit));
         worker =
                 Xnio.getInstance()
@@ -51,7 +55,7 @@
                                 callers,
                                 new ServerMetrics(),
                                 () -> LIMITS,
-                                HttpDialect.SNIPESLIP,
+                                dialect,
                                 "entry-1"));
     }
 
