--- a/core/src/main/java/org/snipeslip/core/config/RouteCheck.java
+++ b/core/src/main/java/org/snipeslip/core/config/RouteCheck.java
@@ -22,6 +22,10 @@
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
     private static final long MAX_DEADLINE_MILLIS = 600_000;
 
+    private static final int MAX_TRIES = 16;
+    private static final int MAX_RANK = 100;
+    private static final int MAX_WEIGHT = 1_000_000;
+
     private RouteCheck() {}
 
     static void values(SourcedObject at, Route route, FaultList faults) {
@@ -34,6 +38,24 @@
                 .sorted()
                 .forEach(method -> form(at, "idempotentMethods", method, METHOD, faults));
         faults.requireRange(at, "deadlineMillis", route.deadlineMillis(), 1, MAX_DEADLINE_MILLIS);
+        faults.requireRange(at, "maxTries", route.maxTries(), 0, MAX_TRIES);
+        faults.requireRange(
+                at, "targetLatencyMillis", route.targetLatencyMillis(), 0, MAX_DEADLINE_MILLIS);
+        faults.requireRange(at, "rank", route.rank(), 0, MAX_RANK);
+        split(at, route, faults);
+    }
+
+    /** A split without any weight could send a call nowhere. */
+    private static void split(SourcedObject at, Route route, FaultList faults) {
+        long total = 0;
+        for (int i = 0; i < route.split().size(); i++) {
+            int weight = route.split().get(i).weight();
+            faults.requireRange(at, "split[" + i + "].weight", weight, 0, MAX_WEIGHT);
+            total += weight;
+        }
+        if (!route.split().isEmpty()) {
+            faults.requireRange(at, "split", total, 1, Long.MAX_VALUE);
+        }
     }
 
     private static void form(
--- a/server/src/main/java/org/snipeslip/server/config/FieldReader.java
+++ b/server/src/main/java/org/snipeslip/server/config/FieldReader.java
@@ -105,6 +105,11 @@
         return required(field) ? elements(field) : List.of();
     }
 
+    List<JsonNode> elementsOrNone(String field) {
+        known.add(field);
+        return node.has(field) ? elements(field) : List.of();
+    }
+
     /** Reports the fields that no method has asked for. */
     void finish() {
         node.fieldNames()
--- a/server/src/main/java/org/snipeslip/server/config/ObjectReader.java
+++ b/server/src/main/java/org/snipeslip/server/config/ObjectReader.java
@@ -17,6 +17,7 @@
 import org.snipeslip.core.config.Organisation;
 import org.snipeslip.core.config.Route;
 import org.snipeslip.core.config.Service;
+import org.snipeslip.core.config.ServiceShare;
 import org.snipeslip.core.error.ConfigFault;
 import org.snipeslip.core.error.ConfigFault.Rule;
 import org.snipeslip.core.id.BackendServerId;
@@ -121,7 +122,28 @@
                 fields.textsOr("idempotentMethods", Route.SAFE_METHODS),
                 regions(fields),
                 fields.integerOr(
-                        "deadlineMillis", DEFAULT_DEADLINE_MILLIS, Long.MIN_VALUE, Long.MAX_VALUE));
+                        "deadlineMillis", DEFAULT_DEADLINE_MILLIS, Long.MIN_VALUE, Long.MAX_VALUE),
+                split(fields),
+                fields.intOr("maxTries", 0),
+                fields.integerOr("targetLatencyMillis", 0, Long.MIN_VALUE, Long.MAX_VALUE),
+                fields.intOr("rank", 0));
+    }
+
+    private static List<ServiceShare> split(FieldReader fields) {
+        List<ServiceShare> shares = new ArrayList<>();
+        List<JsonNode> elements = fields.elementsOrNone("split");
+        for (int i = 0; i < elements.size(); i++) {
+            String field = "split[" + i + "]";
+            FieldReader inner = fields.inner(field, elements.get(i));
+            if (inner.isObject()) {
+                ServiceId service = new ServiceId(inner.text("service"));
+                shares.add(new ServiceShare(service, inner.intOr("weight", DEFAULT_WEIGHT)));
+                inner.finish();
+            } else {
+                fields.wrongType(field, "a map", elements.get(i));
+            }
+        }
+        return shares;
     }
 
     private static CallClass callClass(FieldReader fields) {
--- a/server/src/main/java/org/snipeslip/server/config/ObjectWriter.java
+++ b/server/src/main/java/org/snipeslip/server/config/ObjectWriter.java
@@ -11,6 +11,7 @@
 import org.snipeslip.core.config.Organisation;
 import org.snipeslip.core.config.Route;
 import org.snipeslip.core.config.Service;
+import org.snipeslip.core.config.ServiceShare;
 
 /**
  * Writes configuration objects in their canonical form: every field, in a fixed order, sets sorted.
@@ -61,6 +62,24 @@
         sorted(node.putArray("idempotentMethods"), route.idempotentMethods());
         sorted(node.putArray("homeRegions"), route.homeRegions());
         node.put("deadlineMillis", route.deadlineMillis());
+        // Left out where they say nothing, so that the parts of older sets keep their digests.
+        if (!route.split().isEmpty()) {
+            ArrayNode split = node.putArray("split");
+            for (ServiceShare share : route.split()) {
+                split.addObject()
+                        .put("service", share.service().value())
+                        .put("weight", share.weight());
+            }
+        }
+        putPositive(node, "maxTries", route.maxTries());
+        putPositive(node, "targetLatencyMillis", route.targetLatencyMillis());
+        putPositive(node, "rank", route.rank());
+    }
+
+    private static void putPositive(ObjectNode node, String field, long value) {
+        if (value > 0) {
+            node.put(field, value);
+        }
     }
 
     private static void sorted(ArrayNode array, Collection<?> values) {
--- a/server/src/test/java/org/snipeslip/server/config/ConfigYamlTest.java
+++ b/server/src/test/java/org/snipeslip/server/config/ConfigYamlTest.java
@@ -32,6 +32,11 @@
                     ROUTE methods: [1]} | methods[0] | WRONG_TYPE
                     ROUTE deadlineMillis: "9"} | deadlineMillis | WRONG_TYPE
                     ROUTE deadlineMillis: 1.5} | deadlineMillis | WRONG_TYPE
+                    ROUTE split: s} | split | WRONG_TYPE
+                    ROUTE split: [s]} | split[0] | WRONG_TYPE
+                    ROUTE split: [{weight: 1}]} | split[0].service | MISSING_FIELD
+                    ROUTE split: [{service: s, share: 1}]} | split[0].share | UNKNOWN_FIELD
+                    ROUTE maxTries: many} | maxTries | WRONG_TYPE
                     ROUTE callClass: SLOW} | callClass | OUT_OF_RANGE
                     {kind: Organisation, name: o, weight: 9999999999} | weight | OUT_OF_RANGE
                     {kind: Organisation, name: " "} | name | INVALID_FORMAT
