--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -126,4 +126,10 @@
      * @param call the call
      */
     record CallFleet(FleetCall call) implements Action {}
+
+    /**
+     * Take no further connections, and close those without a call: the balancer in front has
+     * stopped sending callers here.
+     */
+    record StopTaking() implements Action {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -4,6 +4,8 @@
 import org.snipeslip.core.call.CallEngine;
 import org.snipeslip.core.call.CallSettings;
 import org.snipeslip.core.call.FleetShare;
+import org.snipeslip.core.call.Refusal;
+import org.snipeslip.core.call.RefusalReason;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.discovery.FleetConfig;
 import org.snipeslip.core.discovery.FleetEngine;
@@ -17,6 +19,9 @@
  * and keeps no claims.
  */
 public final class DiscoveryInstance implements StateMachine {
+    /** Callers that come during a stop are sent on; another instance takes them at once. */
+    private static final long RETURN_MILLIS = 1;
+
     private final CallEngine calls;
     private final FleetEngine fleet;
     private final StopSequence stop;
@@ -101,8 +106,19 @@
             }
             case Event.TimerFired e when e.timer().owner() == EngineName.CONTROL ->
                     fleet.handle(e, nowNanos, outbox);
-            case Event.TimerFired e when e.timer().owner() == EngineName.INSTANCE ->
-                    stop.timerFired(e.timer());
+            case Event.TimerFired e when e.timer().owner() == EngineName.INSTANCE -> {
+                boolean before = stop.isFinishing();
+                stop.timerFired(e.timer());
+                if (!before && stop.isFinishing()) {
+                    outbox.add(new Action.StopTaking());
+                }
+            }
+            // The time that is left is for the calls that are open; the caller goes elsewhere.
+            case Event.CallArrived e when stop.isFinishing() ->
+                    outbox.add(
+                            new Action.RefuseCaller(
+                                    e.request(),
+                                    Refusal.notRun(RefusalReason.STOPPING, RETURN_MILLIS)));
             case Event.StopRequested e -> stop.request(outbox);
             default -> calls.handle(event, nowNanos, outbox);
         }
--- a/core/src/main/java/org/snipeslip/core/instance/StopSequence.java
+++ b/core/src/main/java/org/snipeslip/core/instance/StopSequence.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Tells whether the balancer had its time, so that callers no longer come here. */
+    synchronized boolean isFinishing() {
+        return phase == Phase.FINISHING || phase == Phase.OVERDUE;
+    }
+
     synchronized boolean isOverdue() {
         return phase == Phase.OVERDUE;
     }
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/instance/DiscoveryStopTest.java
@@ -0,0 +1,153 @@
+package org.snipeslip.core.instance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipeslip.core.call.CallHead;
+import org.snipeslip.core.call.CallSettings;
+import org.snipeslip.core.call.RefusalReason;
+import org.snipeslip.core.config.CallClass;
+import org.snipeslip.core.config.Route;
+import org.snipeslip.core.discovery.CallerBounds;
+import org.snipeslip.core.discovery.DiscoveredServer;
+import org.snipeslip.core.discovery.FleetAnswer;
+import org.snipeslip.core.discovery.FleetCall;
+import org.snipeslip.core.discovery.FleetConfig;
+import org.snipeslip.core.discovery.FleetKind;
+import org.snipeslip.core.discovery.FleetObject;
+import org.snipeslip.core.discovery.FleetRecord;
+import org.snipeslip.core.discovery.FleetSettings;
+import org.snipeslip.core.discovery.FollowSettings;
+import org.snipeslip.core.discovery.ServicePlan;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.id.RequestId;
+import org.snipeslip.core.id.RouteId;
+import org.snipeslip.core.id.ServiceId;
+
+/**
+ * A planned stop while a long call keeps the process alive and callers go on using kept
+ * connections: a call taken in the last seconds would be cut when the time is up.
+ */
+class DiscoveryStopTest {
+    private static final long MILLI = 1_000_000;
+    private static final FailureDomainId ZONE = new FailureDomainId("za");
+    private static final RegionId REGION = new RegionId("ra");
+    private static final ServiceId SERVICE = new ServiceId("s");
+    private static final TimerId BALANCER = new TimerId(EngineName.INSTANCE, "stop-balancer-wait");
+    private static final TimerId LIMIT = new TimerId(EngineName.INSTANCE, "stop-time-limit");
+
+    private final DiscoveryInstance instance =
+            new DiscoveryInstance(
+                    new FleetSettings(
+                            new InstanceId("i"),
+                            Map.of(ZONE, REGION),
+                            new FollowSettings(
+                                    25_000, 2_500, 1_000, 300, 800, 100, 600, 500, 2_000, 25_000),
+                            1.5,
+                            5,
+                            24),
+                    CallSettings.DEFAULT,
+                    REGION,
+                    ZONE,
+                    new StopSettings(2_500, 5_300),
+                    1);
+    private long nowNanos = MILLI;
+    private int calls;
+
+    @Test
+    void isReadyOnceAllWasRead() {
+        assertThat(instance.isReady()).isFalse();
+        start();
+        assertThat(instance.isReady()).isTrue();
+        handle(new Event.StopRequested());
+        assertThat(instance.isReady()).isFalse();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false, true", "true, false"})
+    void takesCallsUntilTheBalancerHadItsTime(boolean balancerDone, boolean taken) {
+        start();
+        assertThat(arrive()).anyMatch(Action.SendTry.class::isInstance);
+        handle(new Event.StopRequested());
+        if (balancerDone) {
+            assertThat(handle(new Event.TimerFired(BALANCER)))
+                    .contains(new Action.StopTaking())
+                    .noneMatch(Action.FinishStop.class::isInstance);
+        }
+        List<Action> actions = arrive();
+        // A taken call is sent or waits for the server's limit.
+        assertThat(actions.stream().noneMatch(Action.RefuseCaller.class::isInstance))
+                .isEqualTo(taken);
+        if (!taken) {
+            Action.RefuseCaller refusal = (Action.RefuseCaller) actions.getFirst();
+            assertThat(refusal.refusal().reason()).isEqualTo(RefusalReason.STOPPING);
+            assertThat(refusal.refusal().status()).isEqualTo(503);
+            assertThat(refusal.refusal().retryAfterMillis()).isPositive();
+        }
+    }
+
+    @Test
+    void endsWithTheTimeLimit() {
+        start();
+        arrive();
+        handle(new Event.StopRequested());
+        handle(new Event.TimerFired(BALANCER));
+        assertThat(handle(new Event.TimerFired(LIMIT)))
+                .anyMatch(Action.FinishStop.class::isInstance);
+    }
+
+    private void start() {
+        handle(new Event.Started());
+        answer(FleetKind.CONFIG, "main", new FleetRecord.Config(config()));
+        answer(FleetKind.EVACUATIONS, null, null);
+        answer(FleetKind.SERVERS, "b", new FleetRecord.Server(server()));
+    }
+
+    private void answer(FleetKind kind, String name, FleetRecord record) {
+        List<FleetObject> objects =
+                name == null ? List.of() : List.of(new FleetObject(name, 3, false, record));
+        handle(
+                new Event.FleetAnswered(
+                        new FleetCall.ListPage(kind, ""), new FleetAnswer.Page(objects, false, 5)));
+    }
+
+    private List<Action> arrive() {
+        CallHead head = new CallHead("GET", "h", "/a/", null, null, "", 0, 0, -1, true);
+        return handle(new Event.CallArrived(new RequestId("c" + calls++), head));
+    }
+
+    private List<Action> handle(Event event) {
+        nowNanos += MILLI;
+        return instance.handle(event, nowNanos);
+    }
+
+    private static FleetConfig config() {
+        Route route =
+                new Route(
+                        new RouteId("r"),
+                        "h",
+                        "/a/",
+                        Set.of(),
+                        SERVICE,
+                        CallClass.INTERACTIVE,
+                        Set.of(Route.ANY_METHOD),
+                        Set.of(),
+                        10_000);
+        ServicePlan plan = new ServicePlan(SERVICE, "/health", 220, 0, 0);
+        return new FleetConfig(
+                1, List.of(route), List.of(plan), new CallerBounds(1_024, 1_024, 1_000, 1_000));
+    }
+
+    private static DiscoveredServer server() {
+        return new DiscoveredServer(
+                new BackendServerId("b"), SERVICE, "127.0.0.1", 80, ZONE, 2, false, 0, 1);
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -105,6 +105,7 @@
                         (address, message) -> {
                             throw new IllegalStateException("a discovered instance has no peers");
                         },
+                        this::stopTaking,
                         this::finishStop);
         registerGauges();
         readinessServer =
@@ -188,6 +189,11 @@
         decisionLog.add(decision);
     }
 
+    private void stopTaking() {
+        callerListener.close();
+        callers.closeIdle();
+    }
+
     private void finishStop(Action.FinishStop action) {
         LOG.atInfo().addKeyValue("openCalls", action.openCalls()).log("planned stop done");
         stopped.countDown();
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -98,6 +98,7 @@
                         metrics,
                         this::record,
                         peers::send,
+                        () -> {},
                         this::finishStop);
         registerGauges();
         String requestIdPrefix =
--- a/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/InstanceRuntime.java
@@ -36,6 +36,7 @@
     private final ServerMetrics metrics;
     private final Consumer<DecisionRecord> decisions;
     private final BiConsumer<PeerAddress, PeerMessage> peers;
+    private final Runnable onStopTaking;
     private final Consumer<Action.FinishStop> onFinishStop;
     private final Map<RequestId, CallRelay> relays = new ConcurrentHashMap<>();
     private volatile boolean closed;
@@ -48,6 +49,7 @@
             ServerMetrics metrics,
             Consumer<DecisionRecord> decisions,
             BiConsumer<PeerAddress, PeerMessage> peers,
+            Runnable onStopTaking,
             Consumer<Action.FinishStop> onFinishStop) {
         this.instance = instance;
         this.stores = stores;
@@ -56,6 +58,7 @@
         this.metrics = metrics;
         this.decisions = decisions;
         this.peers = peers;
+        this.onStopTaking = onStopTaking;
         this.onFinishStop = onFinishStop;
     }
 
@@ -105,6 +108,7 @@
                 case Action.RecordDecision a -> decisions.accept(a.decision());
                 case Action.ConfigAdopted a -> logAdopted(a.config());
                 case Action.FinishStop a -> onFinishStop.accept(a);
+                case Action.StopTaking a -> onStopTaking.run();
                 case Action.SendPeer a -> peers.accept(a.address(), a.message());
                 case Action.SendProbe a -> probes.send(a);
             }
