--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -240,7 +240,7 @@
             return;
         }
         if (isNotRun(status, headers)) {
-            refused(result, load);
+            fail(TryFailure.REFUSED_NOT_RUN, load);
             return;
         }
         usableNanos = KeepAlive.usableNanos(headers, dialect.defaultIdleMillis());
@@ -262,10 +262,6 @@
                 || status == MISDIRECTED && dialect.expectedServer() != null;
     }
 
-    private void refused(ClientExchange result, LoadReport load) {
-        fail(TryFailure.REFUSED_NOT_RUN, load);
-    }
-
     private void fail(TryFailure failure, LoadReport load) {
         if (end()) {
             ServerConnections.closeNow(connection);
