Take lost history as a sign that the store is back

The heartbeat was answered with 410, which did not count as a return, so the watches made before the cut were not made again.

Ruled out: a slow list (none was asked for by the code path).

Change: any answer of the cheap watch ends an outage. Test: ObjectFollowerTest.lostHistoryShowsThatTheStoreIsBack.

--- a/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
@@ -152,9 +152,8 @@
                 changed = applyAll(changes.objects(), nowNanos);
             }
             case FleetAnswer.Failed failed -> outage.failed(nowNanos);
-            default -> {
-                // Lost history: the watch will find out by itself.
-            }
+            // Lost history is an answer too; the watch that is made again will lead to a list.
+            default -> outage.succeeded(nowNanos);
         }
         guard.answered(answer, changed && pending != null, nowNanos);
         return changed;
--- a/core/src/test/java/org/snipeslip/core/discovery/ObjectFollowerTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/ObjectFollowerTest.java
@@ -99,6 +99,17 @@
         assertThat(follower.objects()).containsOnlyKeys("a", "b");
     }
 
+    /** A store that forgot its history while it was out of reach is back all the same. */
+    @Test
+    void lostHistoryShowsThatTheStoreIsBack() {
+        listed(object("a", 3));
+        answer(cheapWatch(), new FleetAnswer.Failed(false, "silence"));
+        assertThat(outage.isFailing()).isTrue();
+        after(SETTINGS.suspectMillis());
+        answer(cheapWatch(), new FleetAnswer.HistoryGone());
+        assertThat(outage.isFailing()).isFalse();
+    }
+
     /** A malformed or late answer to a call that was given up changes nothing. */
     @Test
     void ignoresAnswersToCallsThatWereMadeAgain() {
