Notice the return of the store within a second

Cause: while the store is out of reach, the cheap watch that shows its return still waits 1 s for a change and times out after 1.6 s, so a machine may take almost 3 s after the return to read on; the bounds of a machine that is back in touch begin after 3 s.

Ruled out: shorter waits at all times (each call is billed); the same for all kinds (one answered call restarts all watches).

Change: while calls fail, the heartbeat watch waits 100 ms (returnMillis), so that a try lasts 0.7 s at most. Test: ObjectFollowerTest asksForAQuickAnswerWhileTheStoreIsAway.

--- a/core/src/main/java/org/snipeslip/core/discovery/FollowSettings.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/FollowSettings.java
@@ -8,6 +8,7 @@
  *     connection went silent
  * @param heartbeatMillis the same for the kind whose cheap watch also shows that the store is
  *     reachable
+ * @param returnMillis the same while the store is out of reach, so that its return shows soon
  * @param suspectMillis time that a watch may lag behind the cheap one before it is made again
  * @param batchMillis pause after changes before the next watch; changes that come meanwhile are
  *     read by one call, and it is part of the time that a change takes to be in force
@@ -21,6 +22,7 @@
         long watchMillis,
         long guardMillis,
         long heartbeatMillis,
+        long returnMillis,
         long suspectMillis,
         long batchMillis,
         long minPauseMillis,
--- a/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
@@ -42,7 +42,7 @@
         this.settings = settings;
         this.outage = outage;
         this.random = random;
-        this.guard = new WatchGuard(kind, settings);
+        this.guard = new WatchGuard(kind, settings, outage);
     }
 
     Map<String, FleetObject> objects() {
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchGuard.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchGuard.java
@@ -11,14 +11,16 @@
 
     private final FleetKind kind;
     private final FollowSettings settings;
+    private final StoreOutage outage;
     private FleetCall pending;
     private long attempts;
     private long dueNanos = Long.MIN_VALUE;
     private long suspectNanos = NEVER;
 
-    WatchGuard(FleetKind kind, FollowSettings settings) {
+    WatchGuard(FleetKind kind, FollowSettings settings, StoreOutage outage) {
         this.kind = kind;
         this.settings = settings;
+        this.outage = outage;
     }
 
     /** Returns when {@link #dueCall} or {@link #suspects} has something to say. */
@@ -31,12 +33,17 @@
         if (pending != null || nowNanos < dueNanos) {
             return null;
         }
-        boolean heartbeat = kind == FleetKind.EVACUATIONS;
-        long waitMillis = heartbeat ? settings.heartbeatMillis() : settings.guardMillis();
-        pending = new FleetCall.Watch(kind, revision, waitMillis, true, ++attempts);
+        pending = new FleetCall.Watch(kind, revision, waitMillis(), true, ++attempts);
         return pending;
     }
 
+    private long waitMillis() {
+        if (kind != FleetKind.EVACUATIONS) {
+            return settings.guardMillis();
+        }
+        return outage.isFailing() ? settings.returnMillis() : settings.heartbeatMillis();
+    }
+
     boolean awaits(FleetCall call) {
         return call.equals(pending);
     }
--- a/core/src/test/java/org/snipeslip/core/discovery/FleetViewTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/FleetViewTest.java
@@ -26,7 +26,8 @@
             new FleetSettings(
                     new InstanceId("i"),
                     Map.of(ZONE, new RegionId("ra")),
-                    new FollowSettings(25_000, 2_500, 1_000, 300, 800, 100, 600, 500, 2_000, 1),
+                    new FollowSettings(
+                            25_000, 2_500, 1_000, 100, 300, 800, 100, 600, 500, 2_000, 1),
                     1.5,
                     5,
                     24);
--- a/core/src/test/java/org/snipeslip/core/discovery/ObjectFollowerTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/ObjectFollowerTest.java
@@ -14,10 +14,10 @@
 class ObjectFollowerTest {
     private static final long MILLI = 1_000_000;
     private static final FollowSettings SETTINGS =
-            new FollowSettings(25_000, 2_500, 1_000, 300, 400, 100, 600, 500, 2_000, 25_000);
+            new FollowSettings(25_000, 2_500, 1_000, 100, 300, 400, 100, 600, 500, 2_000, 25_000);
 
     private final StoreOutage outage = new StoreOutage(SETTINGS);
-    private final ObjectFollower follower = follower(FleetKind.SERVERS);
+    private ObjectFollower follower = follower(FleetKind.SERVERS);
     private final List<FleetCall> calls = new ArrayList<>();
     private long nowNanos = 1_000 * MILLI;
 
@@ -110,6 +110,20 @@
         assertThat(outage.isFailing()).isFalse();
     }
 
+    /** A long wait for the first answer would hide that the store is reachable again. */
+    @Test
+    void asksForAQuickAnswerWhileTheStoreIsAway() {
+        follower = follower(FleetKind.EVACUATIONS);
+        listed(object("a", 3));
+        answer(cheapWatch(), new FleetAnswer.Failed(false, "silence"));
+        after(SETTINGS.suspectMillis());
+        assertThat(cheapWatch().waitMillis()).isEqualTo(SETTINGS.returnMillis());
+
+        answer(cheapWatch(), new FleetAnswer.Changes(List.of(), 5));
+        after(SETTINGS.suspectMillis());
+        assertThat(cheapWatch().waitMillis()).isEqualTo(SETTINGS.heartbeatMillis());
+    }
+
     /** A malformed or late answer to a call that was given up changes nothing. */
     @Test
     void ignoresAnswersToCallsThatWereMadeAgain() {
--- a/core/src/test/java/org/snipeslip/core/instance/DiscoveryStopTest.java
+++ b/core/src/test/java/org/snipeslip/core/instance/DiscoveryStopTest.java
@@ -50,7 +50,8 @@
                             new InstanceId("i"),
                             Map.of(ZONE, REGION),
                             new FollowSettings(
-                                    25_000, 2_500, 1_000, 300, 800, 100, 600, 500, 2_000, 25_000),
+                                    25_000, 2_500, 1_000, 100, 300, 800, 100, 600, 500, 2_000,
+                                    25_000),
                             1.5,
                             5,
                             24),
