Read further pages of a list cheaply and collect changes for longer

Ruled out: cheap watches alone (their answers may be seconds old, and a drain must be known within drainS); one watch for all kinds (the store has none).

Change: pages after the first are read with the cheap option. One that is older than the first page is followed by a watch that answers at once, from the oldest page, before the list is taken over; if that history is gone, the next list is read without the option. The list of instances is read cheaply.

Most of what is left are watches that changes answer; only instances that hear changes from one another would save those.

--- a/core/src/main/java/org/snipeslip/core/discovery/FleetCall.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/FleetCall.java
@@ -10,8 +10,9 @@
      *
      * @param kind the kind
      * @param after name after which the page starts; empty for the first page
+     * @param stale whether the answer may be somewhat old; such a call costs less
      */
-    record ListPage(FleetKind kind, String after) implements FleetCall {}
+    record ListPage(FleetKind kind, String after, boolean stale) implements FleetCall {}
 
     /**
      * Waits for changes.
--- a/core/src/main/java/org/snipeslip/core/discovery/FleetEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/FleetEngine.java
@@ -165,7 +165,9 @@
     private FleetCall nextInstancesCall() {
         return registered
                 ? new FleetCall.ListPage(
-                        FleetKind.INSTANCES, instancePage.isEmpty() ? "" : instancePage.getLast())
+                        FleetKind.INSTANCES,
+                        instancePage.isEmpty() ? "" : instancePage.getLast(),
+                        true)
                 : new FleetCall.Register(settings.instance().value());
     }
 
--- a/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
@@ -7,15 +7,20 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Keeps a copy of the objects of one kind: a list in pages, then watches from the revision of its
- * first page. A failed call is made again after a pause that doubles, with jitter; lost history
- * leads to a new list. A {@link WatchGuard} beside the watch notices that it went silent.
+ * Keeps a copy of the objects of one kind: a list in pages, then watches from the oldest revision
+ * of its pages. The first page is up to date; further ones may be older, which costs less, and a
+ * watch that answers at once then closes the gap. A failed call is made again after a pause that
+ * doubles, with jitter; lost history leads to a new list. A {@link WatchGuard} beside the watch
+ * notices that it went silent.
  */
 final class ObjectFollower {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long NEVER = Long.MAX_VALUE;
     private static final int MAX_DOUBLINGS = 10;
 
+    /** Shortest wait that a watch can state: it answers with what is there. */
+    private static final long AT_ONCE_MILLIS = 1;
+
     private final FleetKind kind;
     private final FollowSettings settings;
     private final StoreOutage outage;
@@ -27,9 +32,14 @@
     private final Map<String, Long> vanished = new HashMap<>();
 
     private final Map<String, FleetObject> listed = new HashMap<>();
-    private boolean listing = true;
+    private ListState state = ListState.LISTING;
     private String listedUpTo = "";
+    private long firstPageRevision = -1;
     private long listRevision = -1;
+
+    /** False after the history back to an older page was gone, so that the next list succeeds. */
+    private boolean stalePages = true;
+
     private long revision = -1;
     private int failures;
     private long attempts;
@@ -128,14 +138,16 @@
             }
             case FleetAnswer.Changes changes -> {
                 succeeded(nowNanos);
-                revision = Math.max(revision, changes.revision());
                 // Each call is billed; changes that come in a row are read by one watch.
                 boolean wait = !changes.objects().isEmpty();
                 dueNanos = nowNanos + (wait ? settings.batchMillis() * NANOS_PER_MILLI : 0);
-                yield applyAll(changes.objects(), nowNanos);
+                boolean changed = state == ListState.CATCHING_UP && takeList(nowNanos);
+                revision = Math.max(revision, changes.revision());
+                yield changed | applyAll(changes.objects(), nowNanos);
             }
             case FleetAnswer.HistoryGone gone -> {
                 succeeded(nowNanos);
+                stalePages &= state != ListState.CATCHING_UP;
                 restartList();
                 dueNanos = nowNanos;
                 yield false;
@@ -175,10 +187,12 @@
 
     private boolean takePage(FleetAnswer.Page page, long nowNanos) {
         dueNanos = nowNanos;
-        if (listRevision < 0) {
-            // The watch starts here, so changes between the pages are not missed.
+        if (firstPageRevision < 0) {
+            firstPageRevision = page.revision();
             listRevision = page.revision();
         }
+        // The watch starts at the oldest page, so changes between the pages are not missed.
+        listRevision = Math.min(listRevision, page.revision());
         for (FleetObject object : page.objects()) {
             listed.put(object.name(), object);
             listedUpTo = object.name();
@@ -186,6 +200,15 @@
         if (page.more() && !page.objects().isEmpty()) {
             return false;
         }
+        if (listRevision < firstPageRevision) {
+            // An older page may lack changes that are known already, so it is not applied alone.
+            state = ListState.CATCHING_UP;
+            return false;
+        }
+        return takeList(nowNanos);
+    }
+
+    private boolean takeList(long nowNanos) {
         boolean changed = !isComplete() | applyAll(List.copyOf(listed.values()), nowNanos);
         for (FleetObject known : List.copyOf(objects.values())) {
             // One that a cheap watch brought after the list is kept.
@@ -195,14 +218,16 @@
         }
         revision = Math.max(revision, listRevision);
         restartList();
-        listing = false;
+        state = ListState.WATCHING;
+        stalePages = true;
         return changed;
     }
 
     private void restartList() {
-        listing = true;
+        state = ListState.LISTING;
         listed.clear();
         listedUpTo = "";
+        firstPageRevision = -1;
         listRevision = -1;
     }
 
@@ -240,13 +265,29 @@
     }
 
     private FleetCall nextCall() {
-        return listing
-                ? new FleetCall.ListPage(kind, listedUpTo)
-                : new FleetCall.Watch(kind, revision, settings.watchMillis(), false, ++attempts);
+        return switch (state) {
+            case LISTING ->
+                    new FleetCall.ListPage(kind, listedUpTo, stalePages && !listedUpTo.isEmpty());
+            case CATCHING_UP ->
+                    new FleetCall.Watch(kind, listRevision, AT_ONCE_MILLIS, false, ++attempts);
+            case WATCHING ->
+                    new FleetCall.Watch(kind, revision, settings.watchMillis(), false, ++attempts);
+        };
     }
 
     private FleetCall call(FleetCall next) {
         pending = next;
         return next;
     }
+
+    private enum ListState {
+        /** Reads the pages of a list. */
+        LISTING,
+
+        /** Reads what changed since the oldest page of a list. */
+        CATCHING_UP,
+
+        /** Watches from a list that was taken over. */
+        WATCHING
+    }
 }
--- a/core/src/test/java/org/snipeslip/core/discovery/ObjectFollowerTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/ObjectFollowerTest.java
@@ -31,13 +31,70 @@
         FleetCall first = follower.start();
         answer(first, new FleetAnswer.Page(List.of(object("a", 3)), true, 10));
         FleetCall second = only(FleetCall.ListPage.class);
-        assertThat(second).isEqualTo(new FleetCall.ListPage(FleetKind.SERVERS, "a"));
+        assertThat(first).isEqualTo(new FleetCall.ListPage(FleetKind.SERVERS, "", false));
+        assertThat(second).isEqualTo(new FleetCall.ListPage(FleetKind.SERVERS, "a", true));
         answer(second, new FleetAnswer.Page(List.of(object("b", 12)), false, 14));
 
         assertThat(strongWatch().revision()).isEqualTo(10);
         assertThat(follower.objects()).containsOnlyKeys("a", "b");
     }
 
+    /** A cheap page may be older than the first one; changes since then must not be missed. */
+    @Test
+    void readsWhatChangedSinceAnOlderPage() {
+        FleetCall first = follower.start();
+        answer(first, new FleetAnswer.Page(List.of(object("a", 3)), true, 10));
+        FleetCall second = only(FleetCall.ListPage.class);
+        answer(second, new FleetAnswer.Page(List.of(object("b", 4)), false, 6));
+
+        assertThat(follower.isComplete()).isFalse();
+        FleetCall.Watch catchUp = strongWatch();
+        assertThat(catchUp.revision()).isEqualTo(6);
+        assertThat(catchUp.waitMillis()).isEqualTo(1);
+        answer(catchUp, new FleetAnswer.Changes(List.of(object("c", 8), gone("b", 9)), 11));
+
+        assertThat(follower.isComplete()).isTrue();
+        assertThat(follower.objects()).containsOnlyKeys("a", "c");
+        after(SETTINGS.batchMillis());
+        assertThat(strongWatch().revision()).isEqualTo(11);
+    }
+
+    /** A server that is known to be gone must not get calls again because of an older page. */
+    @Test
+    void doesNotBringBackWhatIsGoneFromAnOlderPage() {
+        listed(object("a", 3), object("b", 4));
+        answer(strongWatch(), new FleetAnswer.Changes(List.of(gone("b", 8)), 8));
+        after(SETTINGS.batchMillis());
+        answer(strongWatch(), new FleetAnswer.HistoryGone());
+        answer(
+                only(FleetCall.ListPage.class),
+                new FleetAnswer.Page(List.of(object("a", 3)), true, 9));
+        answer(
+                only(FleetCall.ListPage.class),
+                new FleetAnswer.Page(List.of(object("b", 4)), false, 7));
+
+        assertThat(follower.objects()).containsOnlyKeys("a");
+        answer(strongWatch(), new FleetAnswer.Changes(List.of(gone("b", 8)), 9));
+        assertThat(follower.objects()).containsOnlyKeys("a");
+    }
+
+    /** Lists from older pages would never succeed in a store that forgets quickly. */
+    @Test
+    void readsPagesThatAreUpToDateWhereTheHistoryIsTooShort() {
+        FleetCall first = follower.start();
+        answer(first, new FleetAnswer.Page(List.of(object("a", 3)), true, 10));
+        answer(
+                only(FleetCall.ListPage.class),
+                new FleetAnswer.Page(List.of(object("b", 4)), false, 6));
+        answer(strongWatch(), new FleetAnswer.HistoryGone());
+        answer(
+                only(FleetCall.ListPage.class),
+                new FleetAnswer.Page(List.of(object("a", 3)), true, 12));
+
+        assertThat(only(FleetCall.ListPage.class))
+                .isEqualTo(new FleetCall.ListPage(FleetKind.SERVERS, "a", false));
+    }
+
     /** A page that was read before a change must not undo it. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/core/src/test/java/org/snipeslip/core/instance/DiscoveryStopTest.java
+++ b/core/src/test/java/org/snipeslip/core/instance/DiscoveryStopTest.java
@@ -117,7 +117,8 @@
                 name == null ? List.of() : List.of(new FleetObject(name, 3, false, record));
         handle(
                 new Event.FleetAnswered(
-                        new FleetCall.ListPage(kind, ""), new FleetAnswer.Page(objects, false, 5)));
+                        new FleetCall.ListPage(kind, "", false),
+                        new FleetAnswer.Page(objects, false, 5)));
     }
 
     private List<Action> arrive() {
