Rehearse the path of a call before the first caller comes

Cause: the first callers of a process meet code that was never run.

Change: 0.3 s after its start an instance sends itself up to 400 calls over loopback, through a state machine, store and backend server of their own, and is ready when they end, at most 2.5 s later. A caller ends them at once. Setting: DiscoverySettings.rehearses.

--- a/core/src/main/java/org/snipeslip/core/routing/RouteTable.java
+++ b/core/src/main/java/org/snipeslip/core/routing/RouteTable.java
@@ -14,7 +14,8 @@
  * a segment boundary, then a route that names the method before one that takes any.
  */
 public final class RouteTable {
-    private static final String ANY_HOST = "*";
+    /** Stands for every host in a route. */
+    public static final String ANY_HOST = "*";
 
     private static final Comparator<Route> MOST_SPECIFIC_FIRST =
             Comparator.<Route>comparingInt(route -> -route.pathPrefix().length())
--- a/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
@@ -55,4 +55,25 @@
                     false,
                     OWN_IDLE_MILLIS,
                     false);
+
+    /**
+     * Returns the same fields without lines about the ends of calls.
+     *
+     * @return the changed dialect
+     */
+    public HttpDialect withoutEnds() {
+        return new HttpDialect(
+                requestId,
+                deadlineMillis,
+                load,
+                notRun,
+                expectedServer,
+                serverName,
+                loadReader,
+                callerNamesCall,
+                carriesCallTree,
+                fractionalRetryAfter,
+                defaultIdleMillis,
+                false);
+    }
 }
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -59,6 +59,10 @@
     private final InstanceRuntime runtime;
     private final CallerListener callerListener;
     private final Undertow readinessServer;
+
+    /** Null if there is none. */
+    private final Rehearsal rehearsal;
+
     private final CountDownLatch stopped = new CountDownLatch(1);
 
     /**
@@ -108,6 +112,7 @@
                         this::stopTaking,
                         this::finishStop);
         registerGauges();
+        rehearsal = settings.rehearses() ? new Rehearsal(settings, worker, buffers) : null;
         readinessServer =
                 Undertow.builder()
                         .setWorker(worker)
@@ -124,14 +129,15 @@
                         worker,
                         buffers,
                         settings.limits(),
-                        new CallHandler(
-                                runtime,
-                                connections,
-                                callers,
-                                metrics,
-                                this::limits,
-                                settings.dialect(),
-                                settings.fleet().instance().value()));
+                        endingRehearsal(
+                                new CallHandler(
+                                        runtime,
+                                        connections,
+                                        callers,
+                                        metrics,
+                                        this::limits,
+                                        settings.dialect(),
+                                        settings.fleet().instance().value())));
         timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
         LOG.atInfo()
                 .addKeyValue("instance", settings.fleet().instance())
@@ -140,6 +146,9 @@
                 .addKeyValue("callers", settings.callerAddress())
                 .log("started");
         runtime.handle(new Event.Started());
+        if (rehearsal != null) {
+            rehearsal.start();
+        }
     }
 
     /** Begins the planned stop. A second request ends it at once. */
@@ -171,6 +180,9 @@
 
     @Override
     public void close() {
+        if (rehearsal != null) {
+            rehearsal.close();
+        }
         callerListener.close();
         callers.closeIdle();
         callers.awaitAnswers(ANSWERS_MILLIS);
@@ -184,6 +196,19 @@
         decisionLog.close();
     }
 
+    private HttpHandler endingRehearsal(HttpHandler next) {
+        return rehearsal == null
+                ? next
+                : exchange -> {
+                    rehearsal.close();
+                    next.handleRequest(exchange);
+                };
+    }
+
+    private boolean isReady() {
+        return instance.isReady() && (rehearsal == null || rehearsal.isDone());
+    }
+
     private void record(DecisionRecord decision) {
         recent.add(decision);
         decisionLog.add(decision);
@@ -217,7 +242,7 @@
         HttpHandler operator =
                 new OperatorHandler(
                         instance::configInForce,
-                        instance::isReady,
+                        this::isReady,
                         metrics,
                         recent,
                         connections::openConnections,
@@ -232,8 +257,7 @@
     }
 
     private void answerReadiness(HttpServerExchange exchange) {
-        exchange.setStatusCode(
-                instance.isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+        exchange.setStatusCode(isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
         exchange.endExchange();
     }
 
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoverySettings.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoverySettings.java
@@ -24,6 +24,8 @@
  * @param limits bounds on requests until a configuration states its own
  * @param dialect header fields of calls
  * @param decisionLog settings of the decision log
+ * @param rehearses whether the process sends calls of its own to itself before it is ready, so that
+ *     the first callers do not meet code that was never run
  * @param connectionSharers instances among which the connections of a backend server are divided
  */
 public record DiscoverySettings(
@@ -38,4 +40,5 @@
         CallLimits limits,
         HttpDialect dialect,
         DecisionLogSettings decisionLog,
+        boolean rehearses,
         int connectionSharers) {}
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/runtime/RehearsalStore.java
@@ -0,0 +1,99 @@
+package org.snipeslip.server.runtime;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.snipeslip.core.config.CallClass;
+import org.snipeslip.core.config.Route;
+import org.snipeslip.core.discovery.CallerBounds;
+import org.snipeslip.core.discovery.DiscoveredServer;
+import org.snipeslip.core.discovery.FleetAnswer;
+import org.snipeslip.core.discovery.FleetCall;
+import org.snipeslip.core.discovery.FleetConfig;
+import org.snipeslip.core.discovery.FleetKind;
+import org.snipeslip.core.discovery.FleetObject;
+import org.snipeslip.core.discovery.FleetRecord;
+import org.snipeslip.core.discovery.ServicePlan;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RouteId;
+import org.snipeslip.core.id.ServiceId;
+import org.snipeslip.core.routing.RouteTable;
+
+/** A store in memory with one route, one service and one backend server, which never change. */
+final class RehearsalStore implements FleetStore {
+    static final String PATH = "/rehearsal/";
+    static final BackendServerId SERVER = new BackendServerId("rehearsal");
+
+    private static final ServiceId SERVICE = new ServiceId("rehearsal");
+    private static final long REVISION = 1;
+    private static final long MILLIS = 1_000;
+    private static final int MAX_BYTES = 16 * 1024;
+
+    private final FailureDomainId failureDomain;
+    private final int port;
+
+    /**
+     * Creates a store.
+     *
+     * @param failureDomain where the backend server stands
+     * @param port port of the backend server on the loopback interface
+     */
+    RehearsalStore(FailureDomainId failureDomain, int port) {
+        this.failureDomain = failureDomain;
+        this.port = port;
+    }
+
+    @Override
+    public void call(FleetCall call, Consumer<FleetAnswer> consumer) {
+        switch (call) {
+            case FleetCall.ListPage page ->
+                    consumer.accept(new FleetAnswer.Page(objects(page.kind()), false, REVISION));
+            case FleetCall.Register register -> consumer.accept(new FleetAnswer.Registered());
+            case FleetCall.Watch watch -> {
+                // Nothing changes, and nobody waits for the answer after the rehearsal.
+            }
+        }
+    }
+
+    private List<FleetObject> objects(FleetKind kind) {
+        return switch (kind) {
+            case CONFIG -> List.of(object("main", new FleetRecord.Config(config())));
+            case SERVERS -> List.of(object(SERVER.value(), new FleetRecord.Server(server())));
+            case EVACUATIONS -> List.of();
+            case INSTANCES ->
+                    List.of(object("i", new FleetRecord.Instance(new InstanceId("rehearsal"))));
+        };
+    }
+
+    private static FleetObject object(String name, FleetRecord record) {
+        return new FleetObject(name, REVISION, false, record);
+    }
+
+    private static FleetConfig config() {
+        Route route =
+                new Route(
+                        new RouteId("rehearsal"),
+                        RouteTable.ANY_HOST,
+                        PATH,
+                        Set.of(),
+                        SERVICE,
+                        CallClass.INTERACTIVE,
+                        Route.SAFE_METHODS,
+                        Set.of(),
+                        MILLIS,
+                        List.of(),
+                        2,
+                        MILLIS,
+                        0);
+        ServicePlan plan = new ServicePlan(SERVICE, PATH, MAX_BYTES, 0, 0);
+        CallerBounds bounds = new CallerBounds(MAX_BYTES, MAX_BYTES, MILLIS, MILLIS);
+        return new FleetConfig(1, List.of(route), List.of(plan), bounds);
+    }
+
+    private DiscoveredServer server() {
+        return new DiscoveredServer(
+                SERVER, SERVICE, "127.0.0.1", port, failureDomain, 1, false, 0, 1);
+    }
+}
