Read all again when the cheap watch meets lost history

Ruled out: making the watch again (its history is gone as well); a new list at each 410 of a quiet kind without more (its revision stands still, so a store that keeps 3 s of history would be listed every 3 s).

Change: 410 to the cheap watch leads to a new list. Cheap watches go on from where the last one ended, which the history covers longest. Tests: ObjectFollowerTest (readsAllAgainWhenTheCheapWatchMeetsLostHistory fails before, cheapWatchesGoOnFromWhereTheLastOneEnded).

--- a/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
@@ -164,7 +164,15 @@
                 changed = applyAll(changes.objects(), nowNanos);
             }
             case FleetAnswer.Failed failed -> outage.failed(nowNanos);
-            // Lost history is an answer too; the watch that is made again will lead to a list.
+            case FleetAnswer.HistoryGone gone -> {
+                outage.succeeded(nowNanos);
+                if (state == ListState.WATCHING) {
+                    // The watch may have gone silent, and can no longer be made again.
+                    pending = null;
+                    restartList();
+                    dueNanos = nowNanos;
+                }
+            }
             default -> outage.succeeded(nowNanos);
         }
         guard.answered(answer, changed && pending != null, nowNanos);
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchGuard.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchGuard.java
@@ -13,6 +13,10 @@
     private final FollowSettings settings;
     private final StoreOutage outage;
     private FleetCall pending;
+
+    /** Up to where cheap watches were answered; a watch that waits is still at an older one. */
+    private long revision = -1;
+
     private long attempts;
     private long dueNanos = Long.MIN_VALUE;
     private long suspectNanos = NEVER;
@@ -28,11 +32,17 @@
         return Math.min(pending == null ? dueNanos : NEVER, suspectNanos);
     }
 
-    /** Returns the cheap watch if it is due, or null. */
-    FleetCall dueCall(long revision, long nowNanos) {
+    /**
+     * Returns the cheap watch if it is due, or null.
+     *
+     * @param knownRevision where the watch beside it started
+     */
+    FleetCall dueCall(long knownRevision, long nowNanos) {
         if (pending != null || nowNanos < dueNanos) {
             return null;
         }
+        // From where the last one ended: a store that forgets quickly keeps that history longest.
+        revision = Math.max(revision, knownRevision);
         pending = new FleetCall.Watch(kind, revision, waitMillis(), true, ++attempts);
         return pending;
     }
@@ -51,8 +61,11 @@
     /** Takes an answer; a change that the pending watch did not bring makes that one suspect. */
     void answered(FleetAnswer answer, boolean watchMissedChange, long nowNanos) {
         pending = null;
-        boolean again =
-                answer instanceof FleetAnswer.Changes changes && changes.objects().isEmpty();
+        boolean again = false;
+        if (answer instanceof FleetAnswer.Changes changes) {
+            again = changes.objects().isEmpty();
+            revision = Math.max(revision, changes.revision());
+        }
         dueNanos = again ? nowNanos : nowNanos + settings.suspectMillis() * NANOS_PER_MILLI;
         if (watchMissedChange && suspectNanos == NEVER) {
             suspectNanos = nowNanos + settings.suspectMillis() * NANOS_PER_MILLI;
--- a/core/src/test/java/org/snipeslip/core/discovery/ObjectFollowerTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/ObjectFollowerTest.java
@@ -167,6 +167,29 @@
         assertThat(outage.isFailing()).isFalse();
     }
 
+    /** A watch on a silent connection never tells that what it waits for was forgotten. */
+    @Test
+    void readsAllAgainWhenTheCheapWatchMeetsLostHistory() {
+        listed(object("a", 3));
+        FleetCall.Watch silent = strongWatch();
+        answer(cheapWatch(), new FleetAnswer.HistoryGone());
+        FleetCall list = only(FleetCall.ListPage.class);
+        answer(list, new FleetAnswer.Page(List.of(object("b", 8)), false, 9));
+
+        assertThat(follower.objects()).containsOnlyKeys("b");
+        assertThat(follower.awaits(silent)).isFalse();
+        assertThat(strongWatch().revision()).isEqualTo(9);
+    }
+
+    /** A quiet kind would be read again and again in a store that forgets quickly. */
+    @Test
+    void cheapWatchesGoOnFromWhereTheLastOneEnded() {
+        listed(object("a", 3));
+        answer(cheapWatch(), new FleetAnswer.Changes(List.of(), 40));
+        assertThat(cheapWatch().revision()).isEqualTo(40);
+        assertThat(strongWatch().revision()).isEqualTo(5);
+    }
+
     /** A long wait for the first answer would hide that the store is reachable again. */
     @Test
     void asksForAQuickAnswerWhileTheStoreIsAway() {
