--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/retry/FleetRetryBudgetTest.java
@@ -0,0 +1,72 @@
+package org.snipeslip.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * The further tries of all instances together, while instances die and start again, connections are
+ * spread unevenly and no instance hears of another.
+ */
+class FleetRetryBudgetTest {
+    private static final int PERCENT = 20;
+    private static final double SLACK = 58;
+    private static final int WINDOW = 200;
+    private static final int STEPS = 2_000;
+
+    /** Guards against a fleet that sends more in some window than its calls and the slack allow. */
+    @Property(tries = 200)
+    void theSumStaysWithinTheRatioAndTheSlack(
+            @ForAll @IntRange(min = 1, max = 120) int instances,
+            @ForAll @DoubleRange(min = 0, max = 0.05) double restarts,
+            @ForAll @DoubleRange(min = 1, max = 4) double skew,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        List<RetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < instances; i++) {
+            budgets.add(started(instances));
+        }
+        int[] calls = new int[STEPS];
+        int[] tries = new int[STEPS];
+        for (int step = 0; step < STEPS; step++) {
+            // A quiet half of a window lets budgets fill up before all of them are spent at once.
+            boolean failing = step / (WINDOW / 2) % 2 == 1;
+            int own = (int) (instances * Math.pow(random.nextDouble(), skew));
+            RetryBudget budget = budgets.get(own);
+            budget.earn();
+            calls[step]++;
+            for (int i = 0; failing && i < instances; i++) {
+                while (budgets.get(i).take()) {
+                    tries[step]++;
+                }
+            }
+            if (random.nextDouble() < restarts) {
+                budgets.set(random.nextInt(instances), started(instances));
+            }
+        }
+        for (int from = 0; from + WINDOW <= STEPS; from++) {
+            double allowed = PERCENT / 100.0 * sum(calls, from) + SLACK;
+            assertThat((double) sum(tries, from)).isLessThanOrEqualTo(allowed);
+        }
+    }
+
+    private static RetryBudget started(int instances) {
+        RetryBudget budget = new RetryBudget(PERCENT, 0);
+        budget.bound(SLACK / instances);
+        return budget;
+    }
+
+    private static int sum(int[] values, int from) {
+        int sum = 0;
+        for (int i = from; i < from + WINDOW; i++) {
+            sum += values[i];
+        }
+        return sum;
+    }
+}
