Put the parts between callers and backend servers into one class

Ruled out: one process class for both kinds of instance; their stores, peers, operator ports and stops differ.

Change: CallPath holds these parts and builds them; the three call it. Order of start and close is kept, but for the rehearsal, which now ends its timers before its connections.

--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -18,17 +18,12 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.DiscoveryInstance;
 import org.snipeslip.core.instance.Event;
-import org.snipeslip.server.http.BackendConnections;
-import org.snipeslip.server.http.CallHandler;
 import org.snipeslip.server.http.CallLimits;
-import org.snipeslip.server.http.CallerConnections;
 import org.snipeslip.server.http.CallerListener;
 import org.snipeslip.server.http.HttpMessageClient;
-import org.snipeslip.server.http.ProbeSender;
 import org.snipeslip.server.log.DecisionLog;
 import org.snipeslip.server.log.RecentDecisions;
 import org.snipeslip.server.operator.OperatorHandler;
-import org.snipeslip.server.operator.ServerMetrics;
 import org.xnio.XnioWorker;
 
 /** One running entry instance whose configuration and backend servers are discovered. */
@@ -48,11 +43,8 @@
 
     private final DiscoverySettings settings;
     private final XnioWorker worker;
-    private final Timers timers = new Timers();
     private final ByteBufferPool buffers;
-    private final BackendConnections connections;
-    private final CallerConnections callers = new CallerConnections();
-    private final ServerMetrics metrics = new ServerMetrics();
+    private final CallPath path;
     private final RecentDecisions recent = new RecentDecisions();
     private final DecisionLog decisionLog;
     private final DiscoveryInstance instance;
@@ -81,7 +73,7 @@
         this.settings = settings;
         worker = Workers.create(IO_THREADS);
         buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
-        connections = new BackendConnections(buffers, settings.connectionSharers());
+        path = new CallPath(worker, buffers, settings.dialect(), settings.connectionSharers());
         decisionLog = new DecisionLog(settings.decisionLog());
         instance =
                 new DiscoveryInstance(
@@ -93,18 +85,9 @@
                         seed);
         HttpMessageClient client = new HttpMessageClient(worker.getIoThread(), buffers);
         runtime =
-                new InstanceRuntime(
+                path.runtime(
                         instance,
                         StoreCalls.of(new ObservedStore(storeFactory.apply(client))),
-                        events ->
-                                new ProbeSender(
-                                        connections,
-                                        worker.getIoThread(),
-                                        buffers,
-                                        settings.dialect(),
-                                        events),
-                        timers,
-                        metrics,
                         this::record,
                         (address, message) -> {
                             throw new IllegalStateException("a discovered instance has no peers");
@@ -124,21 +107,15 @@
                         .build();
         readinessServer.start();
         callerListener =
-                new CallerListener(
+                path.listen(
                         settings.callerAddress(),
-                        worker,
-                        buffers,
                         settings.limits(),
                         endingRehearsal(
-                                new CallHandler(
+                                path.handler(
                                         runtime,
-                                        connections,
-                                        callers,
-                                        metrics,
                                         this::limits,
-                                        settings.dialect(),
                                         settings.fleet().instance().value())));
-        timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
+        path.closeIdleEvery(IDLE_SWEEP_MILLIS, IDLE_NANOS);
         LOG.atInfo()
                 .addKeyValue("instance", settings.fleet().instance())
                 .addKeyValue("failureDomain", settings.failureDomain())
@@ -153,8 +130,10 @@
 
     /** Begins the planned stop. A second request ends it at once. */
     public void requestStop() {
-        LOG.atInfo().addKeyValue("openCalls", metrics.openCalls()).log("planned stop requested");
-        callers.leave();
+        LOG.atInfo()
+                .addKeyValue("openCalls", path.metrics().openCalls())
+                .log("planned stop requested");
+        path.callers().leave();
         runtime.handle(new Event.StopRequested());
     }
 
@@ -184,13 +163,12 @@
             rehearsal.close();
         }
         callerListener.close();
-        callers.closeIdle();
-        callers.awaitAnswers(ANSWERS_MILLIS);
-        callers.closeAll();
+        path.callers().closeIdle();
+        path.callers().awaitAnswers(ANSWERS_MILLIS);
+        path.callers().closeAll();
         readinessServer.stop();
         runtime.close();
-        timers.close();
-        connections.close();
+        path.close();
         Workers.stop(worker);
         buffers.close();
         decisionLog.close();
@@ -216,7 +194,7 @@
 
     private void stopTaking() {
         callerListener.close();
-        callers.closeIdle();
+        path.callers().closeIdle();
     }
 
     private void finishStop(Action.FinishStop action) {
@@ -243,9 +221,9 @@
                 new OperatorHandler(
                         instance::configInForce,
                         this::isReady,
-                        metrics,
+                        path.metrics(),
                         recent,
-                        connections::openConnections,
+                        path.connections()::openConnections,
                         () -> "no peers\n");
         return exchange -> {
             if (exchange.getRequestPath().equals(settings.readinessPath())) {
@@ -262,12 +240,13 @@
     }
 
     private void registerGauges() {
-        metrics.gauge("generation", () -> instance.configInForce().generation().number());
-        metrics.gauge(
-                "config_version",
-                () -> instance.fleetConfig() == null ? 0 : instance.fleetConfig().version());
-        metrics.gauge("backend_connections", connections::openConnections);
-        metrics.gauge("caller_connections", callers::count);
-        metrics.gauge("log_lines_dropped_total", decisionLog::droppedLines);
+        path.registerGauges(instance::configInForce, decisionLog);
+        path.metrics()
+                .gauge(
+                        "config_version",
+                        () ->
+                                instance.fleetConfig() == null
+                                        ? 0
+                                        : instance.fleetConfig().version());
     }
 }
--- a/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/EntryProcess.java
@@ -17,17 +17,12 @@
 import org.snipeslip.peer.PeerKey;
 import org.snipeslip.peer.PeerTransport;
 import org.snipeslip.server.config.ConfigJson;
-import org.snipeslip.server.http.BackendConnections;
-import org.snipeslip.server.http.CallHandler;
-import org.snipeslip.server.http.CallerConnections;
 import org.snipeslip.server.http.CallerListener;
 import org.snipeslip.server.http.HttpDialect;
 import org.snipeslip.server.http.HttpMessageClient;
-import org.snipeslip.server.http.ProbeSender;
 import org.snipeslip.server.log.DecisionLog;
 import org.snipeslip.server.log.RecentDecisions;
 import org.snipeslip.server.operator.OperatorHandler;
-import org.snipeslip.server.operator.ServerMetrics;
 import org.snipeslip.server.settings.ProcessSettings;
 import org.snipeslip.server.store.ObjectApiClient;
 import org.xnio.Options;
@@ -45,11 +40,8 @@
     private static final long ANSWERS_MILLIS = 500;
 
     private final XnioWorker worker;
-    private final Timers timers = new Timers();
     private final ByteBufferPool buffers;
-    private final BackendConnections connections;
-    private final CallerConnections callers = new CallerConnections();
-    private final ServerMetrics metrics = new ServerMetrics();
+    private final CallPath path;
     private final RecentDecisions recent = new RecentDecisions();
     private final DecisionLog decisionLog;
     private final Instance instance;
@@ -79,50 +71,32 @@
     public EntryProcess(ProcessSettings settings, ShellSettings shell) throws IOException {
         worker = Workers.create(settings.ioThreads());
         buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
-        connections = new BackendConnections(buffers, shell.configuredInstances());
+        path = new CallPath(worker, buffers, HttpDialect.SNIPESLIP, shell.configuredInstances());
         decisionLog = new DecisionLog(shell.decisionLog());
         instance = new Instance(settings.instance(), new ConfigJson(), settings.seed());
         HttpMessageClient client = new HttpMessageClient(worker.getIoThread(), buffers);
         runtime =
-                new InstanceRuntime(
+                path.runtime(
                         instance,
                         StoreCalls.of(new ObjectApiClient(client, settings.objectApi())),
-                        events ->
-                                new ProbeSender(
-                                        connections,
-                                        worker.getIoThread(),
-                                        buffers,
-                                        HttpDialect.SNIPESLIP,
-                                        events),
-                        timers,
-                        metrics,
                         this::record,
                         peers::send,
                         () -> {},
                         this::finishStop);
-        registerGauges();
+        path.registerGauges(instance::configInForce, decisionLog);
         String requestIdPrefix =
                 settings.instance().id()
                         + "-"
                         + Long.toString(settings.instance().incarnation(), Character.MAX_RADIX);
         callerListener =
-                new CallerListener(
+                path.listen(
                         settings.callerAddress(),
-                        worker,
-                        buffers,
                         shell.limits(),
-                        new CallHandler(
-                                runtime,
-                                connections,
-                                callers,
-                                metrics,
-                                shell::limits,
-                                HttpDialect.SNIPESLIP,
-                                requestIdPrefix));
+                        path.handler(runtime, shell::limits, requestIdPrefix));
         operatorServer = server(settings.operatorAddress(), operatorHandler()).build();
         operatorServer.start();
         startPeers(settings);
-        timers.every(IDLE_SWEEP_MILLIS, () -> connections.closeIdle(IDLE_NANOS));
+        path.closeIdleEvery(IDLE_SWEEP_MILLIS, IDLE_NANOS);
         runtime.handle(new Event.Started());
     }
 
@@ -132,7 +106,7 @@
      * @return true once a configuration is in force and no stop was requested
      */
     public boolean isReady() {
-        return instance.isReady() && !callers.isLeaving();
+        return instance.isReady() && !path.callers().isLeaving();
     }
 
     /**
@@ -140,7 +114,7 @@
      * request ends the stop at once.
      */
     public void requestStop() {
-        callers.leave();
+        path.callers().leave();
         runtime.handle(new Event.StopRequested());
     }
 
@@ -157,13 +131,12 @@
     public void close() {
         callerListener.close();
         operatorServer.stop();
-        callers.leave();
-        callers.awaitAnswers(ANSWERS_MILLIS);
-        callers.closeAll();
+        path.callers().leave();
+        path.callers().awaitAnswers(ANSWERS_MILLIS);
+        path.callers().closeAll();
         peers.close();
         runtime.close();
-        timers.close();
-        connections.close();
+        path.close();
         Workers.stop(worker);
         buffers.close();
         decisionLog.close();
@@ -195,19 +168,12 @@
         return new OperatorHandler(
                 instance::configInForce,
                 this::isReady,
-                metrics,
+                path.metrics(),
                 recent,
-                connections::openConnections,
+                path.connections()::openConnections,
                 () -> ControlReport.text(instance, peers));
     }
 
-    private void registerGauges() {
-        metrics.gauge("generation", () -> instance.configInForce().generation().number());
-        metrics.gauge("backend_connections", connections::openConnections);
-        metrics.gauge("caller_connections", callers::count);
-        metrics.gauge("log_lines_dropped_total", decisionLog::droppedLines);
-    }
-
     private Undertow.Builder server(InetSocketAddress address, HttpHandler handler) {
         return Undertow.builder()
                 .setWorker(worker)
--- a/server/src/main/java/org/snipeslip/server/runtime/RehearsalStage.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/RehearsalStage.java
@@ -14,16 +14,11 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.DiscoveryInstance;
 import org.snipeslip.core.instance.Event;
-import org.snipeslip.server.http.BackendConnections;
-import org.snipeslip.server.http.CallHandler;
-import org.snipeslip.server.http.CallerConnections;
 import org.snipeslip.server.http.CallerListener;
 import org.snipeslip.server.http.HttpDialect;
 import org.snipeslip.server.http.HttpMessage;
 import org.snipeslip.server.http.HttpMessageClient;
 import org.snipeslip.server.http.HttpMessageListener;
-import org.snipeslip.server.http.ProbeSender;
-import org.snipeslip.server.operator.ServerMetrics;
 import org.xnio.XnioWorker;
 
 /**
@@ -34,9 +29,7 @@
     private static final String BODY = "x".repeat(1_000);
 
     private final HttpDialect dialect;
-    private final BackendConnections connections;
-    private final CallerConnections callers = new CallerConnections();
-    private final Timers timers = new Timers();
+    private final CallPath path;
     private final HttpMessageClient client;
     private final InstanceRuntime runtime;
     private final CallerListener backend;
@@ -46,32 +39,22 @@
     RehearsalStage(DiscoverySettings settings, XnioWorker worker, ByteBufferPool buffers)
             throws IOException {
         dialect = settings.dialect().withoutEnds();
-        connections = new BackendConnections(buffers, 1);
+        path = new CallPath(worker, buffers, dialect, 1);
         client = new HttpMessageClient(worker.getIoThread(), buffers);
         InetSocketAddress loopback =
                 new InetSocketAddress(InetAddress.getLoopbackAddress().getHostAddress(), 0);
-        backend = new CallerListener(loopback, worker, buffers, settings.limits(), this::serve);
-        ServerMetrics metrics = new ServerMetrics();
-        runtime = runtime(settings, worker, buffers, metrics);
-        CallHandler handler =
-                new CallHandler(
-                        runtime,
-                        connections,
-                        callers,
-                        metrics,
-                        settings::limits,
-                        dialect,
-                        "rehearsal");
-        front = new CallerListener(loopback, worker, buffers, settings.limits(), handler);
+        backend = path.listen(loopback, settings.limits(), this::serve);
+        runtime = runtime(settings);
+        front =
+                path.listen(
+                        loopback,
+                        settings.limits(),
+                        path.handler(runtime, settings::limits, "rehearsal"));
         origin = URI.create("http://" + loopback.getHostString() + ":" + front.address().getPort());
         runtime.handle(new Event.Started());
     }
 
-    private InstanceRuntime runtime(
-            DiscoverySettings settings,
-            XnioWorker worker,
-            ByteBufferPool buffers,
-            ServerMetrics metrics) {
+    private InstanceRuntime runtime(DiscoverySettings settings) {
         DiscoveryInstance instance =
                 new DiscoveryInstance(
                         settings.fleet(),
@@ -82,14 +65,9 @@
                         0);
         RehearsalStore store =
                 new RehearsalStore(settings.failureDomain(), backend.address().getPort());
-        return new InstanceRuntime(
+        return path.runtime(
                 (event, nowNanos) -> unlogged(instance.handle(event, nowNanos)),
                 StoreCalls.of(store),
-                events ->
-                        new ProbeSender(
-                                connections, worker.getIoThread(), buffers, dialect, events),
-                timers,
-                metrics,
                 decision -> {},
                 (address, message) -> {},
                 () -> {},
@@ -120,10 +98,9 @@
     public void close() {
         runtime.close();
         front.close();
-        callers.closeAll();
+        path.callers().closeAll();
         backend.close();
-        connections.close();
-        timers.close();
+        path.close();
     }
 
     /** Answers as a backend server without load. */
