Read the discovered configuration of a call without a lock

Cause: the bounds on a request are read from the configuration several times a call, each time under the lock of FleetEngine, which is held while changes of the store are joined.

Change: the configuration is one volatile reference to an immutable value; FleetEngine.config() no longer takes the lock.

--- a/core/src/main/java/org/snipeslip/core/discovery/FleetEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/FleetEngine.java
@@ -14,7 +14,7 @@
 
 /**
  * Follows the store and puts each change of configuration, servers and evacuations in force. Every
- * method takes the engine's own lock, the first one.
+ * method but {@link #config} takes the engine's own lock, the first one.
  */
 public final class FleetEngine {
     private static final TimerId TIMER = new TimerId(EngineName.CONTROL, "fleet");
@@ -81,7 +81,7 @@
      *
      * @return the configuration, or null before the first
      */
-    public synchronized FleetConfig config() {
+    public FleetConfig config() {
         return view.config();
     }
 
--- a/core/src/main/java/org/snipeslip/core/discovery/FleetView.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/FleetView.java
@@ -26,7 +26,10 @@
 final class FleetView {
     private final FleetSettings settings;
     private final Map<String, ColdUntil> coldUntilByServer = new HashMap<>();
-    private FleetConfig config;
+
+    /** Written under the lock of the engine; read for each call without it. */
+    private volatile FleetConfig config;
+
     private Generation generation = Generation.NONE;
 
     FleetView(FleetSettings settings) {
