--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -50,7 +50,6 @@
             BackendServer newServer, FailureDomain domain, Distance distance, FleetShare fleet) {
         server = newServer;
         coldUntilNanos = Math.max(coldUntilNanos, newServer.warmUp().coldUntilNanos());
-
         region = domain.region();
         failureDomainInService = domain.inService();
         load.configure(distance, newServer.slots());
@@ -103,17 +102,19 @@
     }
 
     boolean hasRoom(boolean adaptive, CallClass callClass, long nowNanos) {
-        if (isColdByPlan(nowNanos) && !coldRate.allows(coldShare, nowNanos)) {
-            return false;
-        }
-        return load.inFlight() < limitNow(adaptive, nowNanos)
+        return bearsCall(nowNanos)
+                && load.inFlight() < limitNow(adaptive, nowNanos)
                 && !(adaptive && isFullByReport(callClass, nowNanos));
     }
 
     /** With probes before each call, only connections and the rate while cold bound the calls. */
     boolean hasProbedRoom(long nowNanos) {
-        return load.inFlight() < connectionShare
-                && (!isColdByPlan(nowNanos) || coldRate.allows(coldShare, nowNanos));
+        return bearsCall(nowNanos) && load.inFlight() < connectionShare;
+    }
+
+    /** Tells whether this instance may send one more call to the server while it is cold. */
+    private boolean bearsCall(long nowNanos) {
+        return !isColdByPlan(nowNanos) || coldRate.allows(coldShare, nowNanos);
     }
 
     /** Batch calls take free slots only: a queue at the server has no priority. */
--- a/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/ObjectFollower.java
@@ -148,8 +148,7 @@
             case FleetAnswer.HistoryGone gone -> {
                 succeeded(nowNanos);
                 stalePages &= state != ListState.CATCHING_UP;
-                restartList();
-                dueNanos = nowNanos;
+                listAgain(nowNanos);
                 yield false;
             }
             case FleetAnswer.Registered registered -> false;
@@ -168,9 +167,7 @@
                 outage.succeeded(nowNanos);
                 if (state == ListState.WATCHING) {
                     // The watch may have gone silent, and can no longer be made again.
-                    pending = null;
-                    restartList();
-                    dueNanos = nowNanos;
+                    listAgain(nowNanos);
                 }
             }
             default -> outage.succeeded(nowNanos);
@@ -231,6 +228,12 @@
         return changed;
     }
 
+    private void listAgain(long nowNanos) {
+        pending = null;
+        dueNanos = nowNanos;
+        restartList();
+    }
+
     private void restartList() {
         state = ListState.LISTING;
         listed.clear();
