--- a/core/src/main/java/org/snipeslip/core/discovery/ConfigSetBuilder.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/ConfigSetBuilder.java
@@ -42,7 +42,7 @@
         if (config != null && newConfig.version() <= config.version()) {
             return false;
         }
-        config = newConfig;
+        config = newConfig.completedFrom(config);
         return true;
     }
 
--- a/core/src/test/java/org/snipeslip/core/discovery/ConfigSetBuilderTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/ConfigSetBuilderTest.java
@@ -5,16 +5,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.config.CallClass;
 import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.config.Route;
 import org.snipeslip.core.config.WarmUpPlan;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.InstanceId;
 import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.id.RouteId;
 import org.snipeslip.core.id.ServiceId;
 
 /** Guards against outdated, malformed or unusable objects of the store in a configuration set. */
@@ -43,6 +47,47 @@
         assertThat(builder.config().version()).isEqualTo(expectedVersion);
     }
 
+    /**
+     * Guards against a malformed route or service that takes down others, or that leaves its calls
+     * to a route with a shorter prefix.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, s", "false, (none)"})
+    void keepsLastReadableRouteElsePlaceholder(boolean knownBefore, String expectedService) {
+        if (knownBefore) {
+            builder.updateConfig(config(1, List.of(route("r", "s")), List.of()));
+        }
+        builder.updateConfig(
+                config(
+                        2,
+                        List.of(route("q", "s")),
+                        List.of(
+                                new ConfigFault.MalformedRoute(
+                                        "r", route("r", "(none)"), "no kind"),
+                                new ConfigFault.MalformedRoute("p", null, "no host"))));
+
+        Map<RouteId, Route> routes = build(0).routes();
+        assertThat(routes).containsOnlyKeys(new RouteId("q"), new RouteId("r"));
+        assertThat(routes.get(new RouteId("r")).service())
+                .isEqualTo(new ServiceId(expectedService));
+    }
+
+    @Test
+    void keepsLastReadableService() {
+        builder.updateConfig(config(1));
+        ConfigFault fault = new ConfigFault.MalformedService(SERVICE, "no health path");
+        builder.updateConfig(
+                new DiscoveredConfig(
+                        2,
+                        List.of(),
+                        List.of(),
+                        new CallerLimits(1_024, 1_024, 1_000, 1_000),
+                        List.of(fault)));
+
+        assertThat(builder.config().version()).isEqualTo(2);
+        assertThat(build(0).services()).containsOnlyKeys(SERVICE);
+    }
+
     @Test
     void omitsUnusableServers() {
         builder.updateConfig(config(1));
@@ -125,12 +170,31 @@
     }
 
     private static DiscoveredConfig config(long version) {
+        return config(version, List.of(), List.of());
+    }
+
+    private static DiscoveredConfig config(
+            long version, List<Route> routes, List<ConfigFault> faults) {
         ServiceConfig serviceConfig =
                 new ServiceConfig(SERVICE, "/health", 220, 3 * SECOND_NANOS, 7.1);
         return new DiscoveredConfig(
                 version,
-                List.of(),
+                routes,
                 List.of(serviceConfig),
-                new CallerLimits(1_024, 1_024, 1_000, 1_000));
+                new CallerLimits(1_024, 1_024, 1_000, 1_000),
+                faults);
+    }
+
+    private static Route route(String name, String service) {
+        return new Route(
+                new RouteId(name),
+                "h",
+                "/" + name + "/",
+                Set.of(),
+                new ServiceId(service),
+                CallClass.INTERACTIVE,
+                Set.of(),
+                Set.of(),
+                1_000);
     }
 }
