Refuse calls that arrive when a planned stop ends

Cause: after the last phase of StopSequence isFinishing was false again. A call between the look at the phase and its count as open was missed as well.

Ruled out: a wrong count of open calls (ids of requests are unique; the count is read after the phase changed).

Change: arriving calls are counted under the lock of the sequence before the look at the phase; the stop ends only when none is arriving; every phase from FINISHING on refuses. Instance uses the same gate. The listener opens connections that were accepted just before it closed, without an error line of XNIO at each stop.

--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -4,8 +4,6 @@
 import org.snipeslip.core.call.CallEngine;
 import org.snipeslip.core.call.CallSettings;
 import org.snipeslip.core.call.InstanceShare;
-import org.snipeslip.core.call.Refusal;
-import org.snipeslip.core.call.RefusalReason;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.discovery.DiscoveredConfig;
 import org.snipeslip.core.discovery.DiscoveryEngine;
@@ -19,9 +17,6 @@
  * instance has no peers and no at-most-once claims.
  */
 public final class DiscoveryInstance implements StateMachine {
-    /** Short, because a caller refused during a stop can immediately retry at another instance. */
-    private static final long RETRY_AFTER_MILLIS = 1;
-
     private final CallEngine calls;
     private final DiscoveryEngine discovery;
     private final StopSequence stop;
@@ -60,12 +55,10 @@
                 adopt(adopted.config(), nowNanos, outbox);
             }
         }
-        if (stop.isStopping()) {
+        if (stop.isStopping() && stop.finishIfDone(true, calls::openCalls)) {
             int open = calls.openCalls();
-            if (stop.finishIfDone(open == 0)) {
-                calls.abort(nowNanos, outbox);
-                outbox.add(new Action.FinishStop(open));
-            }
+            calls.abort(nowNanos, outbox);
+            outbox.add(new Action.FinishStop(open));
         }
         return outbox.actions();
     }
@@ -113,12 +106,8 @@
                     outbox.add(new Action.StopAccepting());
                 }
             }
-            // The remaining time is reserved for open calls, so new calls are refused.
-            case Event.CallArrived e when stop.isFinishing() ->
-                    outbox.add(
-                            new Action.RefuseCaller(
-                                    e.request(),
-                                    Refusal.notRun(RefusalReason.STOPPING, RETRY_AFTER_MILLIS)));
+            case Event.CallArrived e ->
+                    stop.admit(e, outbox, () -> calls.handle(e, nowNanos, outbox));
             case Event.StopRequested e -> stop.request(outbox);
             default -> calls.handle(event, nowNanos, outbox);
         }
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -116,7 +116,8 @@
 
     private void dispatch(Event event, long nowNanos, Outbox outbox) {
         switch (event) {
-            case Event.CallArrived e -> calls.handle(e, nowNanos, outbox);
+            case Event.CallArrived e ->
+                    stop.admit(e, outbox, () -> calls.handle(e, nowNanos, outbox));
             case Event.TryAnswered e -> calls.handle(e, nowNanos, outbox);
             case Event.TryCompleted e -> calls.handle(e, nowNanos, outbox);
             case Event.TryFailed e -> calls.handle(e, nowNanos, outbox);
@@ -201,8 +202,8 @@
     }
 
     private void continueStop(long nowNanos, Outbox outbox) {
-        int open = calls.openCalls();
-        if (stop.finishIfDone(open == 0 && idempotency.isHandedOver())) {
+        if (stop.finishIfDone(idempotency.isHandedOver(), calls::openCalls)) {
+            int open = calls.openCalls();
             calls.abort(nowNanos, outbox);
             deliverAll(nowNanos, outbox);
             outbox.add(new Action.FinishStop(open));
--- a/core/src/test/java/org/snipeslip/core/instance/DiscoveryStopTest.java
+++ b/core/src/test/java/org/snipeslip/core/instance/DiscoveryStopTest.java
@@ -2,14 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.snipeslip.core.call.CallHead;
 import org.snipeslip.core.call.CallSettings;
+import org.snipeslip.core.call.Refusal;
 import org.snipeslip.core.call.RefusalReason;
 import org.snipeslip.core.config.CallClass;
 import org.snipeslip.core.config.Route;
@@ -46,22 +52,9 @@
             new TimerId(EngineName.INSTANCE, "stop-balancer-wait");
     private static final TimerId TIME_LIMIT = new TimerId(EngineName.INSTANCE, "stop-time-limit");
 
-    private final DiscoveryInstance instance =
-            new DiscoveryInstance(
-                    new DiscoveryEngineSettings(
-                            new InstanceId("i"),
-                            Map.of(ZONE, REGION),
-                            new WatchSettings(
-                                    25_000, 2_500, 1_000, 100, 300, 800, 100, 600, 500, 2_000,
-                                    25_000),
-                            1.5,
-                            5,
-                            24),
-                    CallSettings.DEFAULT,
-                    REGION,
-                    ZONE,
-                    new StopSettings(2_500, 5_300),
-                    1);
+    private static final int CONCURRENT_ROUNDS = 5_000;
+
+    private final DiscoveryInstance instance = newInstance(1);
     private long nowNanos = MILLI;
     private int callCount;
 
@@ -107,30 +100,123 @@
                 .anyMatch(Action.FinishStop.class::isInstance);
     }
 
+    /**
+     * Guards against a call that is accepted after the stop was declared complete, because the
+     * connections of callers are closed only afterwards and on another thread.
+     */
+    @ParameterizedTest
+    @CsvSource({"stop-balancer-wait", "stop-time-limit"})
+    void refusesCallsAfterStopIsDone(String timer) {
+        completeDiscovery();
+        handle(new Event.StopRequested());
+        assertThat(handle(new Event.TimerFired(new TimerId(EngineName.INSTANCE, timer))))
+                .anyMatch(Action.FinishStop.class::isInstance);
+
+        assertThat(callArrives())
+                .noneMatch(Action.SendTry.class::isInstance)
+                .anyMatch(DiscoveryStopTest::refusesBecauseOfStop);
+    }
+
+    /**
+     * Lets a call arrive on one thread while the stop proceeds on another. Either the call is
+     * refused, or the stop waits for it.
+     */
+    @ParameterizedTest
+    @CsvSource({"stop-balancer-wait", "stop-time-limit"})
+    void neverEndsStopWhileArrivingCallIsAccepted(String timer) throws Exception {
+        try (ExecutorService caller = Executors.newSingleThreadExecutor()) {
+            for (int round = 0; round < CONCURRENT_ROUNDS; round++) {
+                DiscoveryInstance stopping = newInstance(round);
+                completeDiscovery(stopping);
+                handle(stopping, new Event.StopRequested());
+                CyclicBarrier start = new CyclicBarrier(2);
+                long arrivalNanos = nowNanos + MILLI;
+                Future<List<Action>> arrival =
+                        caller.submit(
+                                () -> {
+                                    start.await();
+                                    return stopping.handle(arrivedCall("c"), arrivalNanos);
+                                });
+                start.await();
+                List<Action> actions = new ArrayList<>();
+                actions.addAll(
+                        handle(
+                                stopping,
+                                new Event.TimerFired(new TimerId(EngineName.INSTANCE, timer))));
+                actions.addAll(arrival.get());
+
+                boolean refused = actions.stream().anyMatch(Action.RefuseCaller.class::isInstance);
+                boolean finished = actions.stream().anyMatch(Action.FinishStop.class::isInstance);
+                assertThat(finished)
+                        .as(
+                                "round %s: stop ended without refusing the call, or not: %s",
+                                round, actions)
+                        .isEqualTo(refused);
+            }
+        }
+    }
+
+    private static boolean refusesBecauseOfStop(Action action) {
+        return action instanceof Action.RefuseCaller(RequestId request, Refusal refusal)
+                && refusal.reason() == RefusalReason.STOPPING
+                && refusal.status() == 503;
+    }
+
     private void completeDiscovery() {
-        handle(new Event.Started());
-        respond(DiscoveryKind.CONFIG, "main", new DiscoveryRecord.Config(config()));
-        respond(DiscoveryKind.EVACUATIONS, null, null);
-        respond(DiscoveryKind.SERVERS, "b", new DiscoveryRecord.Server(server()));
+        completeDiscovery(instance);
     }
 
-    private void respond(DiscoveryKind kind, String name, DiscoveryRecord record) {
+    private void completeDiscovery(DiscoveryInstance target) {
+        handle(target, new Event.Started());
+        respond(target, DiscoveryKind.CONFIG, "main", new DiscoveryRecord.Config(config()));
+        respond(target, DiscoveryKind.EVACUATIONS, null, null);
+        respond(target, DiscoveryKind.SERVERS, "b", new DiscoveryRecord.Server(server()));
+    }
+
+    private void respond(
+            DiscoveryInstance target, DiscoveryKind kind, String name, DiscoveryRecord record) {
         List<DiscoveryObject> objects =
                 name == null ? List.of() : List.of(new DiscoveryObject(name, 3, false, record));
         handle(
+                target,
                 new Event.DiscoveryResponded(
                         new DiscoveryRequest.ListPage(kind, "", false),
                         new DiscoveryResponse.Page(objects, false, 5)));
     }
 
     private List<Action> callArrives() {
+        return handle(arrivedCall("c" + callCount++));
+    }
+
+    private static Event arrivedCall(String request) {
         CallHead head = new CallHead("GET", "h", "/a/", null, null, "", 0, 0, -1, true);
-        return handle(new Event.CallArrived(new RequestId("c" + callCount++), head));
+        return new Event.CallArrived(new RequestId(request), head);
     }
 
     private List<Action> handle(Event event) {
+        return handle(instance, event);
+    }
+
+    private List<Action> handle(DiscoveryInstance target, Event event) {
         nowNanos += MILLI;
-        return instance.handle(event, nowNanos);
+        return target.handle(event, nowNanos);
+    }
+
+    private static DiscoveryInstance newInstance(long seed) {
+        return new DiscoveryInstance(
+                new DiscoveryEngineSettings(
+                        new InstanceId("i"),
+                        Map.of(ZONE, REGION),
+                        new WatchSettings(
+                                25_000, 2_500, 1_000, 100, 300, 800, 100, 600, 500, 2_000, 25_000),
+                        1.5,
+                        5,
+                        24),
+                CallSettings.DEFAULT,
+                REGION,
+                ZONE,
+                new StopSettings(2_500, 5_300),
+                seed);
     }
 
     private static DiscoveredConfig config() {
--- a/server/src/main/java/org/snipeslip/server/http/CallerListener.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallerListener.java
@@ -6,8 +6,10 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
-import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -21,6 +23,7 @@
  * connection.
  */
 public final class CallerListener implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(CallerListener.class);
     private static final int PARSE_TIMEOUT_MILLIS = 10_000;
     private static final int NO_REQUEST_TIMEOUT_MILLIS = 75_000;
     private static final int BACKLOG = 1_000;
@@ -55,7 +58,7 @@
         acceptor =
                 worker.createStreamConnectionServer(
                         new InetSocketAddress(address.getHostString(), address.getPort()),
-                        ChannelListeners.openListenerAdapter(open),
+                        server -> acceptAll(server, open),
                         OptionMap.builder()
                                 .set(Options.TCP_NODELAY, true)
                                 .set(Options.REUSE_ADDRESSES, true)
@@ -80,6 +83,24 @@
         IoUtils.safeClose(acceptor);
     }
 
+    /**
+     * Opens all accepted connections. Those that were accepted just before {@link #close} are still
+     * opened; XNIO reports the end of their queue by an exception if the listener is closed.
+     */
+    private static void acceptAll(
+            AcceptingChannel<StreamConnection> server, ChannelListener<StreamConnection> open) {
+        try {
+            StreamConnection connection;
+            while ((connection = server.accept()) != null) {
+                open.handleEvent(connection);
+            }
+        } catch (ClosedChannelException e) {
+            LOG.debug("listener closed", e);
+        } catch (IOException e) {
+            LOG.atError().setCause(e).log("connection of a caller cannot be accepted");
+        }
+    }
+
     private static OptionMap options(CallLimits limits) {
         return OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
