--- a/core/src/main/java/org/snipeslip/core/discovery/BackupWatch.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/BackupWatch.java
@@ -18,6 +18,9 @@
     /** Latest revision reported to a backup watch; a waiting main watch is at an older one. */
     private long revision = -1;
 
+    /** Whether other instances follow this one, so that they depend on its view of the store. */
+    private boolean followed;
+
     private long attempts;
     private long dueNanos = Long.MIN_VALUE;
     private long stallDeadlineNanos = NEVER;
@@ -28,6 +31,10 @@
         this.outage = outage;
     }
 
+    void setFollowed(boolean newFollowed) {
+        followed = newFollowed;
+    }
+
     /** Returns when to call {@link #dueRequest} or {@link #detectStall} next. */
     long dueNanos() {
         return Math.min(pending == null ? dueNanos : NEVER, stallDeadlineNanos);
@@ -53,7 +60,14 @@
         if (kind != DiscoveryKind.EVACUATIONS) {
             return settings.backupWatchMillis();
         }
-        return outage.isFailing() ? settings.outageWatchMillis() : settings.heartbeatWatchMillis();
+        if (outage.isFailing()) {
+            return settings.outageWatchMillis();
+        }
+        return followed ? settings.followedHeartbeatMillis() : settings.heartbeatWatchMillis();
+    }
+
+    void forgetPending() {
+        pending = null;
     }
 
     boolean awaits(DiscoveryRequest request) {
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -1,10 +1,9 @@
 package org.snipeslip.core.discovery;
 
-import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.TreeSet;
 import org.snipeslip.core.call.InstanceShare;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.EngineName;
@@ -22,20 +21,38 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
+    /** The response only shows whether the store is reached. */
+    private static final long STORE_PROBE_WAIT_MILLIS = 1;
+
+    private static final List<DiscoveryKind> WATCHED_KINDS =
+            List.of(DiscoveryKind.CONFIG, DiscoveryKind.SERVERS, DiscoveryKind.EVACUATIONS);
+
     private final DiscoveryEngineSettings settings;
     private final OutageDetector outage;
-    private final WatchCache configCache;
-    private final WatchCache serverCache;
-    private final WatchCache evacuationCache;
-    private final List<WatchCache> caches;
+    private final Map<DiscoveryKind, WatchCache> caches = new EnumMap<>(DiscoveryKind.class);
     private final ConfigSetBuilder configSetBuilder;
-    private final TreeSet<String> instances = new TreeSet<>();
-    private final List<String> listedInstances = new ArrayList<>();
-    private boolean registered;
-    private DiscoveryRequest pendingInstancesRequest;
-    private long instancesDueNanos = NEVER;
+    private final InstanceRegistry registry;
+
+    /** Null if only the store is asked. */
+    private final PeerFollower follower;
+
+    /** Asks whether this instance reaches the store that the followed one has lost. */
+    private DiscoveryRequest pendingStoreProbe;
+
+    private long storeProbeDueNanos = NEVER;
+    private long storeProbes;
+
+    /** Until then, other instances are looked for before the store is watched. */
+    private long startEndNanos = NEVER;
+
+    /** When the store, or the followed instance, last showed what the store holds. */
+    private long knownAsOfNanos;
+
+    /** Whether other instances follow this one; it then stays with the store. */
+    private boolean followed;
+
+    private long followedUntilNanos = NEVER;
     private long timerDueNanos = NEVER;
-    private InstanceShare share;
 
     /**
      * Creates an engine without configuration.
@@ -47,12 +64,10 @@
         SplittableRandom random = new SplittableRandom(seed);
         this.settings = settings;
         this.outage = new OutageDetector(settings.watch());
-        this.configCache = newCache(DiscoveryKind.CONFIG, random);
-        this.serverCache = newCache(DiscoveryKind.SERVERS, random);
-        this.evacuationCache = newCache(DiscoveryKind.EVACUATIONS, random);
-        this.caches = List.of(configCache, serverCache, evacuationCache);
+        WATCHED_KINDS.forEach(kind -> caches.put(kind, newCache(kind, random)));
         this.configSetBuilder = new ConfigSetBuilder(settings);
-        this.share = new InstanceShare(settings.assumedInstances(), 0);
+        this.registry = new InstanceRegistry(settings);
+        this.follower = settings.peers() == null ? null : new PeerFollower(settings.peers());
     }
 
     private WatchCache newCache(DiscoveryKind kind, SplittableRandom random) {
@@ -65,8 +80,7 @@
      * @return true once calls can be served
      */
     public synchronized boolean isComplete() {
-        return configSetBuilder.config() != null
-                && caches.stream().allMatch(WatchCache::isComplete);
+        return configSetBuilder.config() != null && cachesComplete();
     }
 
     /**
@@ -75,7 +89,7 @@
      * @return number of instances and position of this one among them
      */
     public synchronized InstanceShare share() {
-        return share;
+        return registry.share();
     }
 
     /**
@@ -87,6 +101,51 @@
         return configSetBuilder.config();
     }
 
+    /**
+     * Returns whether changes are heard from another instance.
+     *
+     * @return false if the store is followed
+     */
+    public synchronized boolean followsPeer() {
+        return follower != null && follower.isFollowing();
+    }
+
+    /**
+     * Answers the poll of another instance.
+     *
+     * @param revisions for each kind, up to which revision the other one knows all changes
+     * @param nowNanos the current time
+     * @param outbox receives the resulting actions
+     * @return the changes since then, or a failure if this instance does not follow the store
+     *     itself or no longer knows all of them
+     */
+    public synchronized DiscoveryResponse answerPeer(
+            Map<DiscoveryKind, Long> revisions, long nowNanos, Outbox outbox) {
+        if (!cachesComplete() || followsPeer()) {
+            return new DiscoveryResponse.Failed(true, "does not follow the store");
+        }
+        Map<DiscoveryKind, DiscoveryResponse.Changes> changes = new EnumMap<>(DiscoveryKind.class);
+        for (Map.Entry<DiscoveryKind, Long> known : revisions.entrySet()) {
+            WatchCache cache = caches.get(known.getKey());
+            DiscoveryResponse.Changes news =
+                    cache == null ? null : cache.changesSince(known.getValue());
+            if (news == null) {
+                return new DiscoveryResponse.HistoryDiscarded();
+            }
+            changes.put(known.getKey(), news);
+        }
+        followedUntilNanos = nowNanos + settings.peers().followedMillis() * NANOS_PER_MILLI;
+        if (!followed) {
+            setFollowed(true);
+            // The pending heartbeat waits longer than others can rely on.
+            caches.get(DiscoveryKind.EVACUATIONS).restartHeartbeat(nowNanos);
+            sendDueRequests(nowNanos, outbox);
+            setTimer(nowNanos, outbox);
+        }
+        return new DiscoveryResponse.PeerChanges(
+                changes, Math.max(0, nowNanos - knownAsOfNanos) / NANOS_PER_MILLI);
+    }
+
     /**
      * Handles an event of discovery.
      *
@@ -95,12 +154,12 @@
      * @param outbox receives the resulting actions
      */
     public synchronized void handle(Event event, long nowNanos, Outbox outbox) {
+        if (nowNanos >= followedUntilNanos) {
+            followedUntilNanos = NEVER;
+            setFollowed(false);
+        }
         switch (event) {
-            case Event.Started started -> {
-                caches.forEach(cache -> send(cache.start(), outbox));
-                sendInstancesRequest(
-                        new DiscoveryRequest.Register(settings.instance().value()), outbox);
-            }
+            case Event.Started started -> start(nowNanos, outbox);
             case Event.DiscoveryResponded answered -> handleResponse(answered, nowNanos, outbox);
             case Event.TimerFired fired when fired.timer().equals(TIMER) ->
                     handleTimer(nowNanos, outbox);
@@ -108,125 +167,236 @@
                 return;
             }
         }
+        sendDueRequests(nowNanos, outbox);
         setTimer(nowNanos, outbox);
     }
 
+    private void start(long nowNanos, Outbox outbox) {
+        send(registry.start(nowNanos), outbox);
+        if (follower == null) {
+            caches.values().forEach(cache -> send(cache.start(), outbox));
+        } else {
+            caches.values().forEach(WatchCache::suspend);
+            startEndNanos = nowNanos + settings.peers().startMillis() * NANOS_PER_MILLI;
+        }
+    }
+
     private void handleResponse(Event.DiscoveryResponded answered, long nowNanos, Outbox outbox) {
-        if (answered.request().equals(pendingInstancesRequest)) {
-            handleInstancesResponse(answered.response(), nowNanos, outbox);
+        DiscoveryRequest request = answered.request();
+        DiscoveryResponse response = answered.response();
+        if (registry.awaits(request)) {
+            if (registry.handleResponse(response, nowNanos) && follower != null) {
+                follower.setCandidates(registry.peersBefore(), nowNanos);
+            }
+        } else if (follower != null && follower.awaits(request)) {
+            handlePeerResponse(request, response, nowNanos, outbox);
+        } else if (request.equals(pendingStoreProbe)) {
+            handleStoreProbe(response, nowNanos);
+        } else {
+            handleStoreResponse(request, response, nowNanos, outbox);
+        }
+        readStoreWithoutPeers(nowNanos);
+    }
+
+    private void handleStoreResponse(
+            DiscoveryRequest request, DiscoveryResponse response, long nowNanos, Outbox outbox) {
+        WatchCache cache = caches.get(request.kind());
+        if (cache == null || !cache.awaits(request)) {
             return;
         }
-        for (WatchCache cache : caches) {
-            if (cache.awaits(answered.request())) {
-                boolean wasFailing = outage.isFailing();
-                boolean changed =
-                        cache.handleResponse(answered.request(), answered.response(), nowNanos);
-                if (wasFailing && !outage.isFailing()) {
-                    // Watches that were pending during the failure may never receive a response.
-                    caches.forEach(each -> each.restartWatches(nowNanos));
-                }
-                caches.forEach(each -> sendDueRequests(each, nowNanos, outbox));
-                if (changed) {
-                    publishConfigSet(nowNanos, outbox);
+        if (!(response instanceof DiscoveryResponse.Failed)) {
+            knownAsOfNanos = nowNanos;
+        }
+        boolean wasFailing = outage.isFailing();
+        boolean changed = cache.handleResponse(request, response, nowNanos);
+        if (wasFailing && !outage.isFailing()) {
+            // Watches that were pending during the failure may never receive a response.
+            caches.values().forEach(each -> each.restartWatches(nowNanos));
+        }
+        if (changed) {
+            publishConfigSet(nowNanos, outbox);
+        }
+    }
+
+    private void handlePeerResponse(
+            DiscoveryRequest request, DiscoveryResponse response, long nowNanos, Outbox outbox) {
+        if (followed && !follower.isFollowing()) {
+            // Others have come to depend on this instance since it asked.
+            follower.cancel(nowNanos);
+            return;
+        }
+        boolean isList = follower.isList(request);
+        switch (follower.handleResponse(response, revisions(), nowNanos)) {
+            case APPLY_FIRST, APPLY -> {
+                caches.values().forEach(WatchCache::suspend);
+                startEndNanos = NEVER;
+                storeProbeDueNanos = NEVER;
+                // Before the changes, so that servers that were removed in an outage are kept.
+                outage.recordSuccess(nowNanos);
+                applyPeer((DiscoveryResponse.PeerChanges) response, isList, nowNanos, outbox);
+            }
+            case APPLY_OLD -> {
+                applyPeer((DiscoveryResponse.PeerChanges) response, isList, nowNanos, outbox);
+                if (!follower.isFollowing()) {
+                    followStore(nowNanos);
+                } else if (storeProbeDueNanos == NEVER && pendingStoreProbe == null) {
+                    storeProbeDueNanos = nowNanos;
                 }
-                return;
             }
+            case LOST -> followStore(nowNanos);
+            case IGNORE -> {
+                // The next poll is due, perhaps at another instance.
+            }
+            default -> throw new IllegalStateException("unexpected result of a poll");
         }
     }
 
-    private void handleTimer(long nowNanos, Outbox outbox) {
-        timerDueNanos = NEVER;
+    private void applyPeer(
+            DiscoveryResponse.PeerChanges peer, boolean isList, long nowNanos, Outbox outbox) {
+        knownAsOfNanos = nowNanos - peer.ageMillis() * NANOS_PER_MILLI;
         boolean changed = false;
-        for (WatchCache cache : caches) {
-            changed |= cache.removeExpired(nowNanos);
-            sendDueRequests(cache, nowNanos, outbox);
+        for (Map.Entry<DiscoveryKind, DiscoveryResponse.Changes> news : peer.changes().entrySet()) {
+            WatchCache cache = caches.get(news.getKey());
+            changed |=
+                    isList
+                            ? cache.applyPeerList(news.getValue(), nowNanos)
+                            : cache.applyPeerChanges(news.getValue(), nowNanos);
         }
         if (changed) {
             publishConfigSet(nowNanos, outbox);
         }
-        if (nowNanos >= instancesDueNanos) {
-            instancesDueNanos = NEVER;
-            sendInstancesRequest(nextInstancesRequest(), outbox);
+    }
+
+    private void handleStoreProbe(DiscoveryResponse response, long nowNanos) {
+        pendingStoreProbe = null;
+        if (!follower.isFollowing()) {
+            return;
+        }
+        if (response instanceof DiscoveryResponse.Failed) {
+            outage.recordFailure(nowNanos);
+            storeProbeDueNanos = nowNanos + settings.peers().storeProbeMillis() * NANOS_PER_MILLI;
+        } else {
+            outage.recordSuccess(nowNanos);
+            follower.leave(nowNanos);
+            followStore(nowNanos);
         }
     }
 
-    private static void sendDueRequests(WatchCache cache, long nowNanos, Outbox outbox) {
-        cache.dueRequests(nowNanos).forEach(request -> send(request, outbox));
+    private void followStore(long nowNanos) {
+        startEndNanos = NEVER;
+        storeProbeDueNanos = NEVER;
+        caches.values().forEach(cache -> cache.resume(nowNanos));
     }
 
-    private void publishConfigSet(long nowNanos, Outbox outbox) {
-        for (DiscoveryObject object : configCache.objects().values()) {
-            if (object.record() instanceof DiscoveryRecord.Config(DiscoveredConfig config)) {
-                configSetBuilder.updateConfig(config);
+    /** Reads the store itself if no other instance is there, or the start has taken too long. */
+    private void readStoreWithoutPeers(long nowNanos) {
+        if (startEndNanos == NEVER || follower.isFollowing()) {
+            return;
+        }
+        if (nowNanos >= startEndNanos) {
+            followStore(nowNanos);
+        } else if (registry.hasRead() && !follower.hasCandidateBefore(startEndNanos)) {
+            if (registry.knowsOthers()) {
+                followStore(nowNanos);
+            } else {
+                // Others may be starting too: the lists are read, the watches wait for them.
+                caches.values().forEach(cache -> cache.resumeList(nowNanos));
             }
         }
-        if (isComplete()) {
-            Map<String, DiscoveryObject> servers = serverCache.objects();
-            outbox.add(
-                    new Action.ConfigAdopted(
-                            configSetBuilder.build(servers, evacuationCache.objects(), nowNanos)));
+    }
+
+    private void handleTimer(long nowNanos, Outbox outbox) {
+        timerDueNanos = NEVER;
+        boolean changed = false;
+        for (WatchCache cache : caches.values()) {
+            changed |= cache.removeExpired(nowNanos);
+        }
+        if (changed) {
+            publishConfigSet(nowNanos, outbox);
         }
+        readStoreWithoutPeers(nowNanos);
     }
 
-    private DiscoveryRequest nextInstancesRequest() {
-        return registered
-                ? new DiscoveryRequest.ListPage(
-                        DiscoveryKind.INSTANCES,
-                        listedInstances.isEmpty() ? "" : listedInstances.getLast(),
-                        true)
-                : new DiscoveryRequest.Register(settings.instance().value());
+    private void setFollowed(boolean newFollowed) {
+        if (followed == newFollowed) {
+            return;
+        }
+        followed = newFollowed;
+        long batchMillis =
+                followed ? settings.peers().followedBatchMillis() : settings.watch().batchMillis();
+        for (WatchCache cache : caches.values()) {
+            cache.setFollowed(followed, batchMillis);
+        }
     }
 
-    private void handleInstancesResponse(DiscoveryResponse response, long nowNanos, Outbox outbox) {
-        pendingInstancesRequest = null;
-        long periodNanos = settings.watch().instancesRefreshMillis() * NANOS_PER_MILLI;
-        switch (response) {
-            case DiscoveryResponse.Registered confirmation -> {
-                registered = true;
-                instancesDueNanos = nowNanos;
-            }
-            case DiscoveryResponse.Page page -> {
-                page.objects().forEach(object -> listedInstances.add(object.name()));
-                if (page.more() && !page.objects().isEmpty()) {
-                    instancesDueNanos = nowNanos;
-                } else {
-                    updateInstances();
-                    instancesDueNanos = nowNanos + periodNanos;
-                }
-            }
-            default -> instancesDueNanos = nowNanos + periodNanos;
+    private void sendDueRequests(long nowNanos, Outbox outbox) {
+        for (WatchCache cache : caches.values()) {
+            cache.dueRequests(nowNanos).forEach(request -> send(request, outbox));
+        }
+        send(registry.dueRequest(nowNanos), outbox);
+        if (follower != null && !followed) {
+            send(follower.dueRequest(revisions(), nowNanos), outbox);
+        }
+        if (nowNanos >= storeProbeDueNanos) {
+            storeProbeDueNanos = NEVER;
+            pendingStoreProbe =
+                    new DiscoveryRequest.Watch(
+                            DiscoveryKind.EVACUATIONS,
+                            caches.get(DiscoveryKind.EVACUATIONS).revision(),
+                            STORE_PROBE_WAIT_MILLIS,
+                            true,
+                            --storeProbes);
+            send(pendingStoreProbe, outbox);
         }
     }
 
-    /**
-     * Replaces the known instances by the listed ones. Entries of stopped instances remain in the
-     * store, so the number may be too high, which errs on the safe side: shares of limits become
-     * smaller.
-     */
-    private void updateInstances() {
-        instances.clear();
-        instances.addAll(listedInstances);
-        instances.add(settings.instance().value());
-        listedInstances.clear();
-        share =
-                new InstanceShare(
-                        instances.size(), instances.headSet(settings.instance().value()).size());
+    /** An instance that others follow stays with the store. */
+    private boolean mayAskPeers() {
+        return follower != null && (!followed || follower.isFollowing());
+    }
+
+    private Map<DiscoveryKind, Long> revisions() {
+        Map<DiscoveryKind, Long> revisions = new EnumMap<>(DiscoveryKind.class);
+        caches.forEach((kind, cache) -> revisions.put(kind, cache.revision()));
+        return revisions;
+    }
+
+    private boolean cachesComplete() {
+        return caches.values().stream().allMatch(WatchCache::isComplete);
     }
 
-    private void sendInstancesRequest(DiscoveryRequest request, Outbox outbox) {
-        pendingInstancesRequest = request;
-        send(request, outbox);
+    private void publishConfigSet(long nowNanos, Outbox outbox) {
+        for (DiscoveryObject object : caches.get(DiscoveryKind.CONFIG).objects().values()) {
+            if (object.record() instanceof DiscoveryRecord.Config(DiscoveredConfig config)) {
+                configSetBuilder.updateConfig(config);
+            }
+        }
+        if (isComplete()) {
+            outbox.add(
+                    new Action.ConfigAdopted(
+                            configSetBuilder.build(
+                                    caches.get(DiscoveryKind.SERVERS).objects(),
+                                    caches.get(DiscoveryKind.EVACUATIONS).objects(),
+                                    nowNanos)));
+        }
     }
 
     private static void send(DiscoveryRequest request, Outbox outbox) {
-        outbox.add(new Action.SendDiscoveryRequest(request));
+        if (request != null) {
+            outbox.add(new Action.SendDiscoveryRequest(request));
+        }
     }
 
     private void setTimer(long nowNanos, Outbox outbox) {
-        long due = instancesDueNanos;
-        for (WatchCache cache : caches) {
+        long due = Math.min(registry.dueNanos(), storeProbeDueNanos);
+        due = Math.min(due, startEndNanos);
+        for (WatchCache cache : caches.values()) {
             due = Math.min(due, cache.dueNanos());
         }
+        due = Math.min(due, followedUntilNanos);
+        if (mayAskPeers()) {
+            due = Math.min(due, follower.dueNanos());
+        }
         if (due < timerDueNanos) {
             timerDueNanos = due;
             outbox.add(new Action.SetTimer(TIMER, Math.max(0, due - nowNanos)));
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngineSettings.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngineSettings.java
@@ -15,6 +15,7 @@
  *     service configures for cold servers
  * @param warmUpSlack constant part of that limit, in calls per second
  * @param assumedInstances number of instances assumed until their list has been read
+ * @param peers settings of asking other instances for changes, or null to ask only the store
  */
 public record DiscoveryEngineSettings(
         InstanceId instance,
@@ -22,9 +23,40 @@
         WatchSettings watch,
         double warmUpFactor,
         double warmUpSlack,
-        int assumedInstances) {
+        int assumedInstances,
+        PeerSettings peers) {
     /** Copies the map. */
     public DiscoveryEngineSettings {
         regions = Map.copyOf(regions);
     }
+
+    /**
+     * Creates the settings of an instance that asks only the store.
+     *
+     * @param instance name of this instance
+     * @param regions the region of each failure domain
+     * @param watch settings of the lists and watches of the store
+     * @param warmUpFactor factor of the call limit of a cold server
+     * @param warmUpSlack constant part of that limit, in calls per second
+     * @param assumedInstances number of instances assumed until their list has been read
+     */
+    public DiscoveryEngineSettings(
+            InstanceId instance,
+            Map<FailureDomainId, RegionId> regions,
+            WatchSettings watch,
+            double warmUpFactor,
+            double warmUpSlack,
+            int assumedInstances) {
+        this(instance, regions, watch, warmUpFactor, warmUpSlack, assumedInstances, null);
+    }
+
+    /**
+     * Returns these settings for an instance that asks only the store.
+     *
+     * @return a copy without settings of peers
+     */
+    public DiscoveryEngineSettings withoutPeers() {
+        return new DiscoveryEngineSettings(
+                instance, regions, watch, warmUpFactor, warmUpSlack, assumedInstances);
+    }
 }
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryRecord.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryRecord.java
@@ -30,8 +30,11 @@
      * An instance that has started.
      *
      * @param instance name of the instance
+     * @param region region of the instance, or empty if the entry does not say
+     * @param peerAddress address at which other instances ask it for changes, or empty
      */
-    record Instance(InstanceId instance) implements DiscoveryRecord {}
+    record Instance(InstanceId instance, String region, String peerAddress)
+            implements DiscoveryRecord {}
 
     /**
      * An object that cannot be decoded; it is ignored.
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryRequest.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryRequest.java
@@ -1,5 +1,7 @@
 package org.snipeslip.core.discovery;
 
+import java.util.Map;
+
 /** A request to the store from which configuration and servers are discovered. */
 public sealed interface DiscoveryRequest {
     /** Returns the kind of objects that the request concerns. */
@@ -26,12 +28,37 @@
     record Watch(DiscoveryKind kind, long revision, long waitMillis, boolean stale, long attempt)
             implements DiscoveryRequest {}
 
+    /**
+     * Asks another instance for the changes that it knows of (long poll).
+     *
+     * @param address address of the other instance, IP:PORT
+     * @param revisions for each kind, the revision after which changes are returned; a kind with a
+     *     negative revision is returned whole
+     * @param waitMillis maximum wait for a change
+     * @param attempt sequence number that distinguishes otherwise equal requests
+     */
+    record PeerPoll(
+            String address, Map<DiscoveryKind, Long> revisions, long waitMillis, long attempt)
+            implements DiscoveryRequest {
+        /** Copies the map. */
+        public PeerPoll {
+            revisions = Map.copyOf(revisions);
+        }
+
+        @Override
+        public DiscoveryKind kind() {
+            return DiscoveryKind.CONFIG;
+        }
+    }
+
     /**
      * Creates the object of this instance unless it exists.
      *
      * @param name name of the instance
+     * @param region region of the instance
+     * @param peerAddress address at which other instances ask it for changes, or empty
      */
-    record Register(String name) implements DiscoveryRequest {
+    record Register(String name, String region, String peerAddress) implements DiscoveryRequest {
         @Override
         public DiscoveryKind kind() {
             return DiscoveryKind.INSTANCES;
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryResponse.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryResponse.java
@@ -1,6 +1,7 @@
 package org.snipeslip.core.discovery;
 
 import java.util.List;
+import java.util.Map;
 
 /** The response to a {@link DiscoveryRequest}. */
 public sealed interface DiscoveryResponse {
@@ -32,6 +33,26 @@
         }
     }
 
+    /**
+     * What another instance knows.
+     *
+     * @param changes for each kind, the changes since the requested revision
+     * @param ageMillis time since the other instance, or the one that it follows, last heard from
+     *     the store
+     */
+    record PeerChanges(Map<DiscoveryKind, Changes> changes, long ageMillis)
+            implements DiscoveryResponse {
+        /** Copies the map. */
+        public PeerChanges {
+            changes = Map.copyOf(changes);
+        }
+
+        /** Returns whether there is no change. */
+        public boolean isEmpty() {
+            return changes.values().stream().allMatch(each -> each.objects().isEmpty());
+        }
+    }
+
     /** The object was created or already existed. */
     record Registered() implements DiscoveryResponse {}
 
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
@@ -0,0 +1,181 @@
+package org.snipeslip.core.discovery;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.snipeslip.core.call.InstanceShare;
+import org.snipeslip.core.id.InstanceId;
+
+/**
+ * Registers this instance in the store and reads the list of all instances. Entries of stopped
+ * instances remain in the store, so their number may be too high, which errs on the safe side:
+ * shares of limits become smaller.
+ */
+final class InstanceRegistry {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long NEVER = Long.MAX_VALUE;
+
+    /**
+     * Times after the start at which the list is read again, because instances that start together
+     * are missing from the first one.
+     */
+    private static final List<Long> EARLY_READS_MILLIS = List.of(1_200L, 4_000L);
+
+    private final DiscoveryEngineSettings settings;
+    private final Map<String, DiscoveryRecord.Instance> instances = new TreeMap<>();
+    private final List<DiscoveryObject> listed = new ArrayList<>();
+    private boolean registered;
+    private boolean read;
+    private int earlyReads;
+    private long startedNanos;
+    private DiscoveryRequest pending;
+    private long dueNanos = NEVER;
+    private InstanceShare share;
+
+    InstanceRegistry(DiscoveryEngineSettings settings) {
+        this.settings = settings;
+        this.share = new InstanceShare(settings.assumedInstances(), 0);
+    }
+
+    InstanceShare share() {
+        return share;
+    }
+
+    long dueNanos() {
+        return dueNanos;
+    }
+
+    /** Returns whether the first list was read, or could not be read. */
+    boolean hasRead() {
+        return read;
+    }
+
+    /** Returns whether the last list has other instances. */
+    boolean knowsOthers() {
+        return instances.keySet().stream().anyMatch(n -> !n.equals(settings.instance().value()));
+    }
+
+    boolean awaits(DiscoveryRequest request) {
+        return request.equals(pending);
+    }
+
+    /** Returns the first request: the list, which shows whether this instance is registered. */
+    DiscoveryRequest start(long nowNanos) {
+        startedNanos = nowNanos;
+        return markPending(new DiscoveryRequest.ListPage(DiscoveryKind.INSTANCES, "", true));
+    }
+
+    /** Returns the next request and marks it as pending, or returns null if none is due. */
+    DiscoveryRequest dueRequest(long nowNanos) {
+        if (nowNanos < dueNanos) {
+            return null;
+        }
+        dueNanos = NEVER;
+        if (!registered) {
+            return markPending(
+                    new DiscoveryRequest.Register(
+                            settings.instance().value(),
+                            settings.peers() == null ? "" : settings.peers().region().value(),
+                            settings.peers() == null ? "" : settings.peers().address()));
+        }
+        String after = listed.isEmpty() ? "" : listed.getLast().name();
+        return markPending(new DiscoveryRequest.ListPage(DiscoveryKind.INSTANCES, after, true));
+    }
+
+    /** Handles the response to the pending request; returns whether a list was read completely. */
+    boolean handleResponse(DiscoveryResponse response, long nowNanos) {
+        pending = null;
+        read = true;
+        switch (response) {
+            case DiscoveryResponse.Registered confirmation -> {
+                registered = true;
+                dueNanos = nextReadNanos(nowNanos);
+            }
+            case DiscoveryResponse.Page page -> {
+                listed.addAll(page.objects());
+                if (page.more() && !page.objects().isEmpty()) {
+                    dueNanos = nowNanos;
+                } else {
+                    replaceInstances();
+                    dueNanos = registered ? nextReadNanos(nowNanos) : nowNanos;
+                    return true;
+                }
+            }
+            default -> {
+                listed.clear();
+                dueNanos = nextReadNanos(nowNanos);
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns the addresses of the instances of the own region that come before this one in an
+     * order that is the same for all instances and unrelated to their names.
+     */
+    List<String> peersBefore() {
+        Comparator<DiscoveryRecord.Instance> order =
+                Comparator.<DiscoveryRecord.Instance>comparingInt(
+                                instance -> mix(instance.instance().value().hashCode()))
+                        .thenComparing(instance -> instance.instance().value());
+        DiscoveryRecord.Instance self =
+                new DiscoveryRecord.Instance(
+                        settings.instance(),
+                        settings.peers().region().value(),
+                        settings.peers().address());
+        return instances.values().stream()
+                .filter(each -> each.region().equals(self.region()))
+                .filter(each -> !each.peerAddress().isEmpty())
+                .filter(each -> order.compare(each, self) < 0)
+                .sorted(order)
+                .map(DiscoveryRecord.Instance::peerAddress)
+                .toList();
+    }
+
+    private void replaceInstances() {
+        instances.clear();
+        for (DiscoveryObject object : listed) {
+            if (object.record() instanceof DiscoveryRecord.Instance instance) {
+                instances.put(object.name(), instance);
+            } else {
+                // Counts for the shares of limits, but cannot be asked.
+                instances.put(
+                        object.name(),
+                        new DiscoveryRecord.Instance(new InstanceId(object.name()), "", ""));
+            }
+        }
+        listed.clear();
+        String self = settings.instance().value();
+        registered |= instances.containsKey(self);
+        int before = (int) instances.keySet().stream().filter(n -> n.compareTo(self) < 0).count();
+        int count = instances.size() + (instances.containsKey(self) ? 0 : 1);
+        // Instances that start together are missing from the first lists.
+        boolean settled = earlyReads >= EARLY_READS_MILLIS.size();
+        share =
+                new InstanceShare(
+                        settled ? count : Math.max(count, settings.assumedInstances()), before);
+    }
+
+    private long nextReadNanos(long nowNanos) {
+        while (earlyReads < EARLY_READS_MILLIS.size()) {
+            long readNanos = startedNanos + EARLY_READS_MILLIS.get(earlyReads++) * NANOS_PER_MILLI;
+            if (readNanos > nowNanos) {
+                return readNanos;
+            }
+        }
+        return nowNanos + settings.watch().instancesRefreshMillis() * NANOS_PER_MILLI;
+    }
+
+    private DiscoveryRequest markPending(DiscoveryRequest request) {
+        pending = request;
+        return request;
+    }
+
+    /** Spreads the values of {@link String#hashCode}, which are close for similar names. */
+    private static int mix(int hash) {
+        int mixed = hash * 0x9E3779B9;
+        return mixed ^ mixed >>> 15;
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -19,6 +20,9 @@
     private static final long NEVER = Long.MAX_VALUE;
     private static final int MAX_DOUBLINGS = 10;
 
+    /** Removals that are remembered for other instances; about twenty bytes each and the name. */
+    private static final int MAX_REMOVED = 2_048;
+
     /** Minimum wait of a watch, which then returns the changes that already exist. */
     private static final long MIN_WAIT_MILLIS = 1;
 
@@ -45,6 +49,21 @@
     private boolean allowStalePages = true;
 
     private long revision = -1;
+
+    /** Objects that were removed, by the revision at which that was learned, oldest first. */
+    private final Map<String, Long> removedRevisions = new LinkedHashMap<>();
+
+    /** Revision from which on all removals are among {@link #removedRevisions}. */
+    private long historyStartRevision = -1;
+
+    private long batchMillis;
+
+    /** True while another instance is followed instead of the store. */
+    private boolean suspended;
+
+    /** Whether the list is read although the copy is suspended. */
+    private boolean mayList;
+
     private int failures;
     private long attempts;
     private DiscoveryRequest pending;
@@ -60,6 +79,17 @@
         this.outage = outage;
         this.random = random;
         this.backupWatch = new BackupWatch(kind, settings, outage);
+        this.batchMillis = settings.batchMillis();
+    }
+
+    /**
+     * Sets whether other instances follow this one.
+     *
+     * @param newBatchMillis pause between a response with changes and the next main watch
+     */
+    void setFollowed(boolean followed, long newBatchMillis) {
+        batchMillis = newBatchMillis;
+        backupWatch.setFollowed(followed);
     }
 
     Map<String, DiscoveryObject> objects() {
@@ -75,9 +105,106 @@
         return markPending(nextRequest());
     }
 
+    /** Returns up to which revision all changes are known, or -1 before the list was read. */
+    long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns what another instance has to learn that knows all changes up to a revision.
+     *
+     * @param sinceRevision the revision; all objects are returned if it is negative
+     * @return the changes, or null if they are no longer known
+     */
+    DiscoveryResponse.Changes changesSince(long sinceRevision) {
+        boolean whole = sinceRevision < 0;
+        if (!whole && sinceRevision < historyStartRevision) {
+            return null;
+        }
+        List<DiscoveryObject> changes = new ArrayList<>();
+        for (DiscoveryObject object : objects.values()) {
+            boolean news = whole || isNews(object.revision(), sinceRevision);
+            if (news && !removalDeadlines.containsKey(object.name())) {
+                changes.add(object);
+            }
+        }
+        if (!whole) {
+            removedRevisions.forEach(
+                    (name, removedRevision) -> {
+                        if (isNews(removedRevision, sinceRevision)) {
+                            changes.add(DiscoveryObject.deleted(name, removedRevision));
+                        }
+                    });
+        }
+        return new DiscoveryResponse.Changes(changes, revision);
+    }
+
+    /** What only a backup watch has reported follows when the main watch has caught up with it. */
+    private boolean isNews(long changeRevision, long sinceRevision) {
+        return changeRevision > sinceRevision && changeRevision <= revision;
+    }
+
+    /**
+     * Applies what another instance knows.
+     *
+     * @param changes changes since {@link #revision}
+     * @return whether the objects changed
+     */
+    boolean applyPeerChanges(DiscoveryResponse.Changes changes, long nowNanos) {
+        boolean changed = applyAll(changes.objects(), changes.revision(), nowNanos);
+        revision = Math.max(revision, changes.revision());
+        return changed;
+    }
+
+    /**
+     * Replaces the copy by all objects that another instance knows, at a revision that is not older
+     * than that of this copy.
+     *
+     * @return whether the objects changed
+     */
+    boolean applyPeerList(DiscoveryResponse.Changes list, long nowNanos) {
+        pending = null;
+        dueNanos = NEVER;
+        resetList();
+        list.objects().forEach(object -> listed.put(object.name(), object));
+        listRevision = list.revision();
+        return applyList(nowNanos);
+    }
+
+    /**
+     * Sends no further requests to the store until {@link #resume}, and ignores responses to
+     * earlier ones: they may be older than what another instance reports meanwhile.
+     */
+    void suspend() {
+        suspended = true;
+        mayList = false;
+        pending = null;
+        backupWatch.forgetPending();
+    }
+
+    /** Reads the list of a suspended and incomplete copy. */
+    void resumeList(long nowNanos) {
+        if (suspended && !mayList && !isComplete()) {
+            mayList = true;
+            dueNanos = nowNanos;
+        }
+    }
+
+    /** Sends requests to the store again, beginning with a watch or list that is due at once. */
+    void resume(long nowNanos) {
+        if (suspended) {
+            suspended = false;
+            if (pending == null) {
+                restartWatches(nowNanos);
+            }
+        }
+    }
+
     /** Returns when to call {@link #dueRequests} next, or {@link Long#MAX_VALUE} for never. */
     long dueNanos() {
-        long due = Math.min(dueNanos, isComplete() ? backupWatch.dueNanos() : NEVER);
+        boolean watching = isComplete() && !suspended;
+        long due =
+                Math.min(isActive() ? dueNanos : NEVER, watching ? backupWatch.dueNanos() : NEVER);
         for (long end : removalDeadlines.values()) {
             due = Math.min(due, end);
         }
@@ -87,6 +214,9 @@
     /** Marks the requests that are due as pending and returns them. */
     List<DiscoveryRequest> dueRequests(long nowNanos) {
         List<DiscoveryRequest> requests = new ArrayList<>(1);
+        if (!isActive()) {
+            return requests;
+        }
         if (backupWatch.detectStall(nowNanos)) {
             dueNanos = Math.min(dueNanos, nowNanos);
         }
@@ -103,6 +233,15 @@
         return requests;
     }
 
+    private boolean isActive() {
+        return !suspended || mayList && !isComplete();
+    }
+
+    /** Sends the next backup watch at once. */
+    void restartHeartbeat(long nowNanos) {
+        backupWatch.restart(nowNanos);
+    }
+
     /** Repeats the watches after the store was unreachable, because it may have dropped them. */
     void restartWatches(long nowNanos) {
         dueNanos = nowNanos;
@@ -147,10 +286,10 @@
                 recordSuccess(nowNanos);
                 // Each request is billed, so one watch reads all changes of a short period.
                 boolean batch = !changes.objects().isEmpty();
-                dueNanos = nowNanos + (batch ? settings.batchMillis() * NANOS_PER_MILLI : 0);
+                dueNanos = nowNanos + (batch ? batchMillis * NANOS_PER_MILLI : 0);
                 boolean changed = state == State.CATCHING_UP && applyList(nowNanos);
                 revision = Math.max(revision, changes.revision());
-                yield changed | applyAll(changes.objects(), nowNanos);
+                yield changed | applyAll(changes.objects(), changes.revision(), nowNanos);
             }
             case DiscoveryResponse.HistoryDiscarded discarded -> {
                 recordSuccess(nowNanos);
@@ -159,6 +298,8 @@
                 yield false;
             }
             case DiscoveryResponse.Registered confirmation -> false;
+            case DiscoveryResponse.PeerChanges peer ->
+                    throw new IllegalStateException("response of an instance to a store request");
         };
     }
 
@@ -167,7 +308,7 @@
         switch (response) {
             case DiscoveryResponse.Changes changes -> {
                 outage.recordSuccess(nowNanos);
-                changed = applyAll(changes.objects(), nowNanos);
+                changed = applyAll(changes.objects(), changes.revision(), nowNanos);
             }
             case DiscoveryResponse.Failed failed -> outage.recordFailure(nowNanos);
             case DiscoveryResponse.HistoryDiscarded discarded -> {
@@ -189,10 +330,16 @@
         backupWatch.mainWatchAnswered();
     }
 
-    private boolean applyAll(List<DiscoveryObject> changes, long nowNanos) {
+    /**
+     * Applies changes that are complete up to a revision. Only the last change of each object
+     * counts: an earlier one may already be outdated by what another watch has reported.
+     */
+    private boolean applyAll(List<DiscoveryObject> changes, long learnedRevision, long nowNanos) {
+        Map<String, DiscoveryObject> lastChanges = new LinkedHashMap<>();
+        changes.forEach(change -> lastChanges.put(change.name(), change));
         boolean changed = false;
-        for (DiscoveryObject object : changes) {
-            changed |= apply(object, nowNanos);
+        for (DiscoveryObject object : lastChanges.values()) {
+            changed |= apply(object, learnedRevision, nowNanos);
         }
         return changed;
     }
@@ -221,13 +368,16 @@
     }
 
     private boolean applyList(long nowNanos) {
-        boolean changed = !isComplete() | applyAll(List.copyOf(listed.values()), nowNanos);
+        boolean changed =
+                !isComplete() | applyAll(List.copyOf(listed.values()), listRevision, nowNanos);
         for (DiscoveryObject known : List.copyOf(objects.values())) {
             // Objects that the backup watch reported after the list are kept.
             if (!listed.containsKey(known.name()) && known.revision() <= listRevision) {
-                changed |= remove(known.name(), nowNanos);
+                changed |= remove(known.name(), listRevision, nowNanos);
             }
         }
+        // Objects that came and went since the last watch are not among the removed ones.
+        historyStartRevision = listRevision;
         revision = Math.max(revision, listRevision);
         resetList();
         state = State.WATCHING;
@@ -249,20 +399,28 @@
         listRevision = -1;
     }
 
-    private boolean apply(DiscoveryObject object, long nowNanos) {
+    private boolean apply(DiscoveryObject object, long learnedRevision, long nowNanos) {
         DiscoveryObject known = objects.get(object.name());
         if (known != null && known.revision() > object.revision()) {
             return false;
         }
         if (object.deleted()) {
-            return remove(object.name(), nowNanos);
+            // The entry of a deletion may carry the revision of the change before it.
+            return remove(object.name(), Math.max(object.revision(), learnedRevision), nowNanos);
+        }
+        Long removedRevision = removedRevisions.get(object.name());
+        if (removedRevision != null && object.revision() <= removedRevision) {
+            return false;
         }
         removalDeadlines.remove(object.name());
+        removedRevisions.remove(object.name());
         objects.put(object.name(), object);
         return known == null || known.revision() != object.revision();
     }
 
-    private boolean remove(String name, long nowNanos) {
+    private boolean remove(String name, long learnedRevision, long nowNanos) {
+        // Also of an object that is not known here: another instance may know it.
+        rememberRemoval(name, learnedRevision);
         if (!objects.containsKey(name) || removalDeadlines.containsKey(name)) {
             return false;
         }
@@ -274,6 +432,15 @@
         return objects.remove(name) != null;
     }
 
+    private void rememberRemoval(String name, long learnedRevision) {
+        removedRevisions.remove(name);
+        removedRevisions.put(name, learnedRevision);
+        if (removedRevisions.size() > MAX_REMOVED) {
+            String oldest = removedRevisions.keySet().iterator().next();
+            historyStartRevision = Math.max(historyStartRevision, removedRevisions.remove(oldest));
+        }
+    }
+
     private long backoffNanos() {
         long limitMillis =
                 Math.min(
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchSettings.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchSettings.java
@@ -8,6 +8,7 @@
  *     connection has stalled
  * @param heartbeatWatchMillis the same for the kind whose backup watch also shows whether the store
  *     is reachable
+ * @param followedHeartbeatMillis the same while other instances follow this one
  * @param outageWatchMillis the same for that kind while the store is unreachable; short, so that
  *     recovery is noticed soon
  * @param maxLagMillis time for which a main watch may lag behind its backup watch before it is
@@ -25,6 +26,7 @@
         long mainWatchMillis,
         long backupWatchMillis,
         long heartbeatWatchMillis,
+        long followedHeartbeatMillis,
         long outageWatchMillis,
         long maxLagMillis,
         long batchMillis,
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -1,6 +1,7 @@
 package org.snipeslip.core.instance;
 
 import java.util.List;
+import java.util.Map;
 import org.snipeslip.core.call.CallEngine;
 import org.snipeslip.core.call.CallSettings;
 import org.snipeslip.core.call.InstanceShare;
@@ -8,6 +9,8 @@
 import org.snipeslip.core.discovery.DiscoveredConfig;
 import org.snipeslip.core.discovery.DiscoveryEngine;
 import org.snipeslip.core.discovery.DiscoveryEngineSettings;
+import org.snipeslip.core.discovery.DiscoveryKind;
+import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
 
@@ -81,6 +84,28 @@
         return discovery.config();
     }
 
+    /**
+     * Answers the poll of another instance.
+     *
+     * @param revisions for each kind, up to which revision the other one knows all changes
+     * @param nowNanos the current time of a monotonic clock
+     * @return the changes since then, or why there is no answer
+     */
+    public PeerAnswer answerPeer(Map<DiscoveryKind, Long> revisions, long nowNanos) {
+        Outbox outbox = new Outbox();
+        DiscoveryResponse response = discovery.answerPeer(revisions, nowNanos, outbox);
+        return new PeerAnswer(response, outbox.actions());
+    }
+
+    /**
+     * Returns whether changes are heard from another instance.
+     *
+     * @return false if the store is followed
+     */
+    public boolean followsPeer() {
+        return discovery.followsPeer();
+    }
+
     /**
      * Returns whether the instance is ready for calls.
      *
@@ -127,4 +152,12 @@
             inForce = config;
         }
     }
+
+    /**
+     * The answer to a poll.
+     *
+     * @param response what the other instance is told
+     * @param actions the actions to execute
+     */
+    public record PeerAnswer(DiscoveryResponse response, List<Action> actions) {}
 }
--- a/core/src/test/java/org/snipeslip/core/discovery/ConfigSetBuilderTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/ConfigSetBuilderTest.java
@@ -30,7 +30,8 @@
             new DiscoveryEngineSettings(
                     new InstanceId("i"),
                     Map.of(ZONE, new RegionId("ra")),
-                    new WatchSettings(25_000, 2_500, 1_000, 100, 300, 800, 100, 600, 500, 2_000, 1),
+                    new WatchSettings(
+                            25_000, 2_500, 1_000, 300, 100, 300, 800, 100, 600, 500, 2_000, 1),
                     1.5,
                     5,
                     24);
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/discovery/PeerFollowingTest.java
@@ -0,0 +1,236 @@
+package org.snipeslip.core.discovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.ServiceId;
+
+/**
+ * Plays a region of instances that hear of changes from one of them. An instance that reaches the
+ * store must apply each change in time, whatever happens to the instance that it follows.
+ */
+class PeerFollowingTest {
+    private static final long SECOND_NANOS = 1_000_000_000;
+
+    /** The shortest time limit of the platform for a change that the store has acknowledged. */
+    private static final long LIMIT_NANOS = 2 * SECOND_NANOS;
+
+    /** Time without a disturbance after which the limit holds. */
+    private static final long CONTACT_NANOS = 3 * SECOND_NANOS;
+
+    private static final long START_NANOS = 9 * SECOND_NANOS;
+    private static final ServiceId SERVICE = new ServiceId("s");
+
+    private final VirtualTime time = new VirtualTime();
+    private final SimulatedStore store = new SimulatedStore(time);
+    private final Map<String, SimulatedFollower> byAddress = new HashMap<>();
+    private final List<SimulatedFollower> instances = new ArrayList<>();
+    private final List<String> violations = new ArrayList<>();
+    private final Set<String> present = new HashSet<>();
+    private int serverNumber;
+    private int version;
+    private long storeDisturbedUntilNanos;
+
+    static IntStream seeds() {
+        return IntStream.range(0, Integer.getInteger("snipeslip.followingSeeds", 60));
+    }
+
+    /**
+     * Guards against changes that arrive late or never, servers that are used again after they were
+     * removed, and versions that go back.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void appliesEachChangeInTimeUnderFaults(int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        startAll(12, true);
+        time.runUntil(START_NANOS);
+        assertThat(instances.stream().filter(SimulatedFollower::followsPeer)).hasSize(11);
+        for (int step = 0; step < 100; step++) {
+            time.after(step * 300, () -> change(random));
+            if (random.nextInt(4) == 0) {
+                time.after(step * 300 + random.nextInt(300), () -> harm(random));
+            }
+        }
+        time.runUntil(START_NANOS + 60 * SECOND_NANOS);
+
+        assertThat(violations).isEmpty();
+        for (SimulatedFollower instance : instances) {
+            assertThat(instance.servers()).as(instance.name()).isEqualTo(present);
+            assertThat(instance.version()).as(instance.name()).isEqualTo(version);
+        }
+    }
+
+    /** The price of a day without faults must grow with the changes, not with the instances. */
+    @ParameterizedTest
+    @CsvSource({"20, 3", "150, 12"})
+    void takesFewStoreCalls(int count, double minRatio) {
+        double alone = priceOfDay(count, false);
+        double following = new PeerFollowingTest().priceOfDay(count, true);
+
+        assertThat(alone / following)
+                .as("%s against %s", alone, following)
+                .isGreaterThanOrEqualTo(minRatio);
+    }
+
+    private double priceOfDay(int count, boolean followsPeers) {
+        startAll(count, followsPeers);
+        time.runUntil(START_NANOS);
+        double atStart = store.price();
+        SplittableRandom random = new SplittableRandom(1);
+        for (int step = 0; step < 20; step++) {
+            time.after(step * 2_000, () -> change(random));
+        }
+        time.runUntil(START_NANOS + 45 * SECOND_NANOS);
+        assertThat(violations).isEmpty();
+        return store.price() - atStart;
+    }
+
+    private void startAll(int count, boolean followsPeers) {
+        putConfig();
+        for (int i = 0; i < 8; i++) {
+            putServer();
+        }
+        for (int i = 0; i < count; i++) {
+            SimulatedFollower instance =
+                    new SimulatedFollower(
+                            "front-" + i, time, store, byAddress, followsPeers, violations);
+            instances.add(instance);
+            time.after(i * 300.0 / count, instance::start);
+        }
+    }
+
+    private void change(SplittableRandom random) {
+        if (store.isDown()) {
+            return;
+        }
+        int kind = random.nextInt(5);
+        if (kind == 0) {
+            putConfig();
+        } else if (kind <= 2 || present.size() < 4) {
+            putServer();
+        } else {
+            String server = present.stream().sorted().skip(random.nextInt(3)).findFirst().get();
+            present.remove(server);
+            store.remove(DiscoveryKind.SERVERS, server);
+        }
+        Set<String> expected = Set.copyOf(present);
+        int expectedVersion = version;
+        long changedNanos = time.nowNanos();
+        time.after(LIMIT_NANOS / 1e6, () -> check(expected, expectedVersion, changedNanos));
+    }
+
+    /** Checks that all instances in touch know at least what was acknowledged at a time. */
+    private void check(Set<String> expected, int expectedVersion, long changedNanos) {
+        long calmSinceNanos = changedNanos - CONTACT_NANOS;
+        if (store.isDown() || storeDisturbedUntilNanos > calmSinceNanos) {
+            return;
+        }
+        for (SimulatedFollower instance : instances) {
+            if (!instance.isInTouch(calmSinceNanos)) {
+                continue;
+            }
+            if (instance.version() < expectedVersion) {
+                violations.add(
+                        instance.name()
+                                + " has version "
+                                + instance.version()
+                                + ", 2 s ago: "
+                                + expectedVersion
+                                + " at "
+                                + time.nowNanos() / 1e9);
+            }
+            for (String server : instance.servers()) {
+                // Names only grow, so that a higher one may have been added since.
+                if (!expected.contains(server) && number(server) < highest(expected)) {
+                    violations.add(
+                            instance.name()
+                                    + " still uses "
+                                    + server
+                                    + ", removed 2 s ago, at "
+                                    + time.nowNanos() / 1e9);
+                }
+            }
+        }
+    }
+
+    private static int highest(Set<String> servers) {
+        return servers.stream().mapToInt(PeerFollowingTest::number).max().orElse(0);
+    }
+
+    private static int number(String server) {
+        return Integer.parseInt(server.substring(1));
+    }
+
+    /** Harms an instance, most often one that others follow, or the store. */
+    private void harm(SplittableRandom random) {
+        List<SimulatedFollower> leaders =
+                instances.stream().filter(instance -> !instance.followsPeer()).toList();
+        List<SimulatedFollower> pool =
+                !leaders.isEmpty() && random.nextInt(3) > 0 ? leaders : instances;
+        SimulatedFollower victim = pool.get(random.nextInt(pool.size()));
+        switch (random.nextInt(8)) {
+            case 0, 1 -> {
+                victim.kill();
+                time.after(random.nextInt(200, 3_000), victim::start);
+            }
+            case 2, 3 -> victim.freeze(random.nextInt(100, 5_000));
+            case 4, 5 -> victim.cutFromStore(random.nextInt(200, 6_000));
+            case 6 -> victim.cutFromPeers(random.nextInt(200, 6_000));
+            default -> {
+                if (random.nextBoolean()) {
+                    store.compact();
+                } else {
+                    store.setDown(true);
+                    time.after(
+                            random.nextInt(200, 5_000),
+                            () -> {
+                                store.setDown(false);
+                                storeDisturbedUntilNanos = time.nowNanos();
+                            });
+                }
+            }
+        }
+    }
+
+    private void putConfig() {
+        ServiceConfig service = new ServiceConfig(SERVICE, "/health", 220, 0, 0);
+        DiscoveredConfig config =
+                new DiscoveredConfig(
+                        ++version,
+                        List.of(),
+                        List.of(service),
+                        new CallerLimits(1_024, 1_024, 1_000, 1_000));
+        store.put(DiscoveryKind.CONFIG, "main", new DiscoveryRecord.Config(config));
+    }
+
+    private void putServer() {
+        String name = "b" + serverNumber++;
+        present.add(name);
+        store.put(
+                DiscoveryKind.SERVERS,
+                name,
+                new DiscoveryRecord.Server(
+                        new DiscoveredServer(
+                                new BackendServerId(name),
+                                SERVICE,
+                                "127.0.0.1",
+                                80,
+                                SimulatedFollower.DOMAIN,
+                                2,
+                                false,
+                                0,
+                                1)));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
@@ -0,0 +1,335 @@
+package org.snipeslip.core.discovery;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.config.Service;
+import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Event;
+import org.snipeslip.core.instance.Outbox;
+
+/**
+ * One instance in virtual time: a {@link DiscoveryEngine}, its links to the store and to the other
+ * instances, and the faults of both.
+ */
+final class SimulatedFollower {
+    static final RegionId REGION = new RegionId("ra");
+    static final FailureDomainId DOMAIN = new FailureDomainId("za");
+
+    private static final double LINK_MILLIS = 1;
+    private static final double STORE_LINK_MILLIS = 12;
+    private static final long CHANGE_MILLIS = 2_000;
+    private static final long PEER_MARGIN_MILLIS = 300;
+    private static final WatchSettings WATCH =
+            new WatchSettings(
+                    25_000, 2_500, 1_000, 300, 100, 300, 1_200, 100, 600, 500, 2_000, 25_000);
+
+    private final String name;
+    private final VirtualTime time;
+    private final SimulatedStore store;
+    private final Map<String, SimulatedFollower> byAddress;
+    private final boolean followsPeers;
+    private final List<Poll> polls = new ArrayList<>();
+    private final List<Runnable> heldWhileFrozen = new ArrayList<>();
+    private final Set<String> removedServers = new HashSet<>();
+    private final List<String> violations;
+    private DiscoveryEngine engine;
+    private Set<String> servers = Set.of();
+    private long version = -1;
+    private int incarnation;
+    private boolean alive;
+    private boolean frozen;
+    private boolean storeCut;
+    private boolean peersCut;
+    private long disturbedUntilNanos;
+
+    SimulatedFollower(
+            String name,
+            VirtualTime time,
+            SimulatedStore store,
+            Map<String, SimulatedFollower> byAddress,
+            boolean followsPeers,
+            List<String> violations) {
+        this.name = name;
+        this.time = time;
+        this.store = store;
+        this.byAddress = byAddress;
+        this.followsPeers = followsPeers;
+        this.violations = violations;
+        byAddress.put(address(), this);
+    }
+
+    String name() {
+        return name;
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+
+    Set<String> servers() {
+        return servers;
+    }
+
+    long version() {
+        return version;
+    }
+
+    boolean followsPeer() {
+        return alive && engine.followsPeer();
+    }
+
+    /** Returns whether nothing has disturbed the instance or its link to the store for a time. */
+    boolean isInTouch(long sinceNanos) {
+        return alive && !frozen && !storeCut && disturbedUntilNanos <= sinceNanos;
+    }
+
+    void start() {
+        alive = true;
+        frozen = false;
+        heldWhileFrozen.clear();
+        incarnation++;
+        servers = Set.of();
+        version = -1;
+        removedServers.clear();
+        disturbedUntilNanos = time.nowNanos();
+        engine =
+                new DiscoveryEngine(
+                        new DiscoveryEngineSettings(
+                                new InstanceId(name),
+                                Map.of(DOMAIN, REGION),
+                                WATCH,
+                                1.5,
+                                5,
+                                24,
+                                followsPeers
+                                        ? new PeerSettings(
+                                                REGION,
+                                                address(),
+                                                CHANGE_MILLIS / 4,
+                                                CHANGE_MILLIS * 2 / 5,
+                                                1_000,
+                                                5_000,
+                                                200,
+                                                2_000,
+                                                2_400)
+                                        : null),
+                        name.hashCode());
+        handle(new Event.Started());
+    }
+
+    /** Ends the process; callers of its ports are told at once. */
+    void kill() {
+        alive = false;
+        heldWhileFrozen.clear();
+        frozen = false;
+        List<Poll> open = List.copyOf(polls);
+        polls.clear();
+        open.forEach(poll -> poll.answer(new DiscoveryResponse.Failed(true, "reset")));
+    }
+
+    void freeze(double millis) {
+        frozen = true;
+        int frozenIncarnation = incarnation;
+        time.after(
+                millis,
+                () -> {
+                    if (alive && frozen && incarnation == frozenIncarnation) {
+                        frozen = false;
+                        disturbedUntilNanos = time.nowNanos();
+                        List<Runnable> held = List.copyOf(heldWhileFrozen);
+                        heldWhileFrozen.clear();
+                        held.forEach(Runnable::run);
+                    }
+                });
+    }
+
+    void cutFromStore(double millis) {
+        storeCut = true;
+        time.after(
+                millis,
+                () -> {
+                    storeCut = false;
+                    disturbedUntilNanos = time.nowNanos();
+                });
+    }
+
+    void cutFromPeers(double millis) {
+        peersCut = true;
+        time.after(millis, () -> peersCut = false);
+    }
+
+    private String address() {
+        return name + ":1";
+    }
+
+    private void handle(Event event) {
+        int handled = incarnation;
+        runUnlessFrozen(
+                () -> {
+                    if (!alive || incarnation != handled) {
+                        return;
+                    }
+                    Outbox outbox = new Outbox();
+                    engine.handle(event, time.nowNanos(), outbox);
+                    outbox.actions().forEach(this::execute);
+                });
+    }
+
+    private void runUnlessFrozen(Runnable action) {
+        if (frozen) {
+            heldWhileFrozen.add(action);
+        } else {
+            action.run();
+        }
+    }
+
+    private void execute(Action action) {
+        switch (action) {
+            case Action.SendDiscoveryRequest send -> send(send.request());
+            case Action.SetTimer timer ->
+                    time.after(
+                            timer.delayNanos() / 1e6,
+                            () -> handle(new Event.TimerFired(timer.timer())));
+            case Action.ConfigAdopted adopted -> {
+                adopt(adopted);
+                List.copyOf(polls).forEach(poll -> poll.tryAnswer(false));
+            }
+            default -> throw new IllegalStateException("unexpected action " + action);
+        }
+    }
+
+    private void adopt(Action.ConfigAdopted adopted) {
+        Set<String> now = new HashSet<>();
+        for (Service service : adopted.config().services().values()) {
+            for (BackendServer server : service.backendServers()) {
+                now.add(server.id().value());
+            }
+        }
+        for (String server : servers) {
+            if (!now.contains(server)) {
+                removedServers.add(server);
+            }
+        }
+        now.stream()
+                .filter(removedServers::contains)
+                .forEach(server -> violations.add(name + " uses removed server " + server));
+        if (engine.config().version() < version) {
+            violations.add(name + " went back to version " + engine.config().version());
+        }
+        version = engine.config().version();
+        servers = now;
+    }
+
+    private void send(DiscoveryRequest request) {
+        int sender = incarnation;
+        boolean[] done = new boolean[1];
+        Consumer<DiscoveryResponse> consumer =
+                response -> {
+                    if (!done[0] && incarnation == sender) {
+                        done[0] = true;
+                        handle(new Event.DiscoveryResponded(request, response));
+                    }
+                };
+        time.after(
+                timeoutMillis(request),
+                () -> consumer.accept(new DiscoveryResponse.Failed(false, "timeout")));
+        if (request instanceof DiscoveryRequest.PeerPoll poll) {
+            SimulatedFollower peer = byAddress.get(poll.address());
+            if (!peersCut && !peer.peersCut) {
+                time.after(LINK_MILLIS, () -> peer.receive(poll, deliverUnlessCut(peer, consumer)));
+            }
+        } else if (!storeCut) {
+            time.after(
+                    STORE_LINK_MILLIS,
+                    () ->
+                            store.call(
+                                    request,
+                                    response ->
+                                            time.after(
+                                                    STORE_LINK_MILLIS,
+                                                    () -> {
+                                                        if (!storeCut) {
+                                                            consumer.accept(response);
+                                                        }
+                                                    })));
+        }
+    }
+
+    private Consumer<DiscoveryResponse> deliverUnlessCut(
+            SimulatedFollower peer, Consumer<DiscoveryResponse> consumer) {
+        return response ->
+                time.after(
+                        LINK_MILLIS,
+                        () -> {
+                            if (!peersCut && !peer.peersCut) {
+                                consumer.accept(response);
+                            }
+                        });
+    }
+
+    private void receive(DiscoveryRequest.PeerPoll request, Consumer<DiscoveryResponse> consumer) {
+        if (!alive) {
+            consumer.accept(new DiscoveryResponse.Failed(true, "refused"));
+            return;
+        }
+        runUnlessFrozen(
+                () -> {
+                    Poll poll = new Poll(request, consumer);
+                    polls.add(poll);
+                    poll.tryAnswer(request.waitMillis() == 0);
+                    time.after(
+                            request.waitMillis(),
+                            () -> runUnlessFrozen(() -> poll.tryAnswer(true)));
+                });
+    }
+
+    private static long timeoutMillis(DiscoveryRequest request) {
+        return switch (request) {
+            case DiscoveryRequest.PeerPoll poll -> poll.waitMillis() + PEER_MARGIN_MILLIS;
+            case DiscoveryRequest.Watch watch when watch.stale() ->
+                    watch.waitMillis() + (watch.waitMillis() <= 300 ? 400 : 600);
+            case DiscoveryRequest.Watch watch -> watch.waitMillis() + 1_500;
+            default -> 1_500;
+        };
+    }
+
+    /** A poll of another instance that waits for an answer. */
+    private final class Poll {
+        private final DiscoveryRequest.PeerPoll request;
+        private final Consumer<DiscoveryResponse> consumer;
+
+        Poll(DiscoveryRequest.PeerPoll request, Consumer<DiscoveryResponse> consumer) {
+            this.request = request;
+            this.consumer = consumer;
+        }
+
+        void tryAnswer(boolean emptyAllowed) {
+            if (!alive || !polls.contains(this)) {
+                return;
+            }
+            Outbox outbox = new Outbox();
+            DiscoveryResponse response =
+                    engine.answerPeer(request.revisions(), time.nowNanos(), outbox);
+            outbox.actions().forEach(SimulatedFollower.this::execute);
+            if (emptyAllowed
+                    || !(response instanceof DiscoveryResponse.PeerChanges changes)
+                    || !changes.isEmpty()) {
+                polls.remove(this);
+                answer(response);
+            }
+        }
+
+        void answer(DiscoveryResponse response) {
+            consumer.accept(response);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
@@ -0,0 +1,147 @@
+package org.snipeslip.core.discovery;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * The platform's store in virtual time: objects, history, waiting watches and the price of calls.
+ */
+final class SimulatedStore {
+    private static final double STALE_PRICE = 0.1;
+
+    private final VirtualTime time;
+    private final Map<DiscoveryKind, TreeMap<String, DiscoveryObject>> objects =
+            new EnumMap<>(DiscoveryKind.class);
+    private final List<Change> history = new ArrayList<>();
+    private final List<WaitingWatch> waiting = new ArrayList<>();
+    private long revision = 1;
+    private long oldestRevision = 1;
+    private double price;
+    private boolean down;
+
+    SimulatedStore(VirtualTime time) {
+        this.time = time;
+        for (DiscoveryKind kind : DiscoveryKind.values()) {
+            objects.put(kind, new TreeMap<>());
+        }
+    }
+
+    double price() {
+        return price;
+    }
+
+    boolean isDown() {
+        return down;
+    }
+
+    void setDown(boolean newDown) {
+        down = newDown;
+        if (down) {
+            waiting.clear();
+        }
+    }
+
+    /** Discards the history; watches that wait already are not affected. */
+    void compact() {
+        oldestRevision = revision;
+    }
+
+    void put(DiscoveryKind kind, String name, DiscoveryRecord record) {
+        record(kind, new DiscoveryObject(name, ++revision, false, record));
+    }
+
+    void remove(DiscoveryKind kind, String name) {
+        record(kind, DiscoveryObject.deleted(name, ++revision));
+    }
+
+    private void record(DiscoveryKind kind, DiscoveryObject object) {
+        if (object.deleted()) {
+            objects.get(kind).remove(object.name());
+        } else {
+            objects.get(kind).put(object.name(), object);
+        }
+        history.add(new Change(kind, object));
+        for (WaitingWatch watch : List.copyOf(waiting)) {
+            if (watch.request.kind() == kind) {
+                waiting.remove(watch);
+                watch.consumer.accept(changes(watch.request));
+            }
+        }
+    }
+
+    /**
+     * Handles a request that has reached the store; may answer later, or never while it is down.
+     */
+    void call(DiscoveryRequest request, Consumer<DiscoveryResponse> consumer) {
+        switch (request) {
+            case DiscoveryRequest.ListPage page -> {
+                price += page.stale() ? STALE_PRICE : 1;
+                if (down) {
+                    consumer.accept(new DiscoveryResponse.Failed(true, "down"));
+                } else {
+                    consumer.accept(
+                            new DiscoveryResponse.Page(
+                                    List.copyOf(objects.get(page.kind()).values()),
+                                    false,
+                                    revision));
+                }
+            }
+            case DiscoveryRequest.Watch watch -> {
+                price += watch.stale() ? STALE_PRICE : 1;
+                if (down) {
+                    consumer.accept(new DiscoveryResponse.Failed(true, "down"));
+                } else if (watch.revision() < oldestRevision) {
+                    consumer.accept(new DiscoveryResponse.HistoryDiscarded());
+                } else if (changes(watch).objects().isEmpty()) {
+                    WaitingWatch waitingWatch = new WaitingWatch(watch, consumer);
+                    waiting.add(waitingWatch);
+                    time.after(
+                            watch.waitMillis(),
+                            () -> {
+                                if (waiting.remove(waitingWatch)) {
+                                    consumer.accept(changes(watch));
+                                }
+                            });
+                } else {
+                    consumer.accept(changes(watch));
+                }
+            }
+            case DiscoveryRequest.Register register -> {
+                price += 1;
+                if (down) {
+                    consumer.accept(new DiscoveryResponse.Failed(true, "down"));
+                } else {
+                    put(
+                            DiscoveryKind.INSTANCES,
+                            register.name(),
+                            new DiscoveryRecord.Instance(
+                                    new org.snipeslip.core.id.InstanceId(register.name()),
+                                    register.region(),
+                                    register.peerAddress()));
+                    consumer.accept(new DiscoveryResponse.Registered());
+                }
+            }
+            case DiscoveryRequest.PeerPoll poll ->
+                    throw new IllegalStateException("poll of an instance sent to the store");
+        }
+    }
+
+    private DiscoveryResponse.Changes changes(DiscoveryRequest.Watch watch) {
+        List<DiscoveryObject> changed =
+                history.stream()
+                        .filter(change -> change.kind == watch.kind())
+                        .map(Change::object)
+                        .filter(object -> object.revision() > watch.revision())
+                        .toList();
+        return new DiscoveryResponse.Changes(changed, revision);
+    }
+
+    private record Change(DiscoveryKind kind, DiscoveryObject object) {}
+
+    private record WaitingWatch(
+            DiscoveryRequest.Watch request, Consumer<DiscoveryResponse> consumer) {}
+}
--- a/core/src/test/java/org/snipeslip/core/discovery/WatchCacheTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/WatchCacheTest.java
@@ -17,7 +17,8 @@
 class WatchCacheTest {
     private static final long MILLI = 1_000_000;
     private static final WatchSettings SETTINGS =
-            new WatchSettings(25_000, 2_500, 1_000, 100, 300, 400, 100, 600, 500, 2_000, 25_000);
+            new WatchSettings(
+                    25_000, 2_500, 1_000, 300, 100, 300, 400, 100, 600, 500, 2_000, 25_000);
 
     private final OutageDetector outage = new OutageDetector(SETTINGS);
     private WatchCache cache = cache(DiscoveryKind.SERVERS);
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -7,6 +7,9 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -15,6 +18,8 @@
 import org.snipeslip.core.call.DecisionRecord;
 import org.snipeslip.core.discovery.CallerLimits;
 import org.snipeslip.core.discovery.DiscoveredConfig;
+import org.snipeslip.core.discovery.DiscoveryKind;
+import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.DiscoveryInstance;
 import org.snipeslip.core.instance.Event;
@@ -55,9 +60,17 @@
     private final CallerListener callerListener;
     private final Undertow readinessServer;
 
+    /** Null if the settings open no port for other instances. */
+    private final PeerFeed peerFeed;
+
+    private final Undertow peerServer;
+
     /** Null if the settings turn the warm-up off. */
     private final JvmWarmup jvmWarmup;
 
+    /** The last logged source of changes: another instance, or the store. */
+    private boolean followedPeer;
+
     private final CountDownLatch stopped = new CountDownLatch(1);
 
     /**
@@ -91,10 +104,14 @@
                         settings.failureDomain(),
                         settings.stop(),
                         seed);
+        peerFeed =
+                settings.peerFeed() == null
+                        ? null
+                        : new PeerFeed(this::answerPeer, settings.peerFeed().encoder());
         SimpleHttpClient client = new SimpleHttpClient(worker.getIoThread(), buffers);
         driver =
                 proxy.createDriver(
-                        instance,
+                        this::handleEvent,
                         StoreClient.of(new OutageLoggingStore(storeFactory.apply(client))),
                         this::record,
                         (address, message) -> {
@@ -116,6 +133,7 @@
                                 settings.readinessAddress().getHostString())
                         .build();
         readinessServer.start();
+        peerServer = peerFeed == null ? null : startPeerServer(settings.peerFeed().address());
         callerListener =
                 proxy.listen(
                         settings.callerAddress(),
@@ -177,6 +195,9 @@
         proxy.callerConnections().awaitOpenCalls(OPEN_CALLS_TIMEOUT_MILLIS);
         proxy.callerConnections().closeAll();
         readinessServer.stop();
+        if (peerServer != null) {
+            peerServer.stop();
+        }
         driver.close();
         proxy.close();
         IoWorkers.stop(worker);
@@ -184,6 +205,46 @@
         decisionLog.close();
     }
 
+    private List<Action> handleEvent(Event event, long nowNanos) {
+        List<Action> actions = instance.handle(event, nowNanos);
+        if (peerFeed != null && actions.stream().anyMatch(Action.ConfigAdopted.class::isInstance)) {
+            peerFeed.configAdopted();
+        }
+        if (event instanceof Event.DiscoveryResponded) {
+            logSource();
+        }
+        return actions;
+    }
+
+    private DiscoveryResponse answerPeer(Map<DiscoveryKind, Long> revisions) {
+        DiscoveryInstance.PeerAnswer answer = instance.answerPeer(revisions, System.nanoTime());
+        driver.execute(answer.actions());
+        return answer.response();
+    }
+
+    /** Logs when the instance begins to hear changes from another one, or returns to the store. */
+    private synchronized void logSource() {
+        boolean follows = instance.followsPeer();
+        if (follows != followedPeer) {
+            followedPeer = follows;
+            LOG.atInfo()
+                    .addKeyValue("source", follows ? "instance" : "store")
+                    .log("source of changes");
+        }
+    }
+
+    private Undertow startPeerServer(InetSocketAddress address) {
+        Undertow server =
+                Undertow.builder()
+                        .setWorker(worker)
+                        .setByteBufferPool(buffers)
+                        .setHandler(peerFeed)
+                        .addHttpListener(address.getPort(), address.getHostString())
+                        .build();
+        server.start();
+        return server;
+    }
+
     private HttpHandler endWarmupOnFirstCall(HttpHandler next) {
         return jvmWarmup == null
                 ? next
@@ -234,7 +295,7 @@
                         proxy.metrics(),
                         recentDecisions,
                         proxy.backendConnectionPool()::openConnections,
-                        () -> "no peers\n");
+                        () -> instance.followsPeer() ? "follows a peer\n" : "follows the store\n");
         return exchange -> {
             if (exchange.getRequestPath().equals(settings.readinessPath())) {
                 answerReadiness(exchange);
@@ -251,6 +312,7 @@
 
     private void registerGauges() {
         proxy.registerGauges(instance::configInForce, decisionLog);
+        proxy.metrics().registerGauge("follows_peer", () -> instance.followsPeer() ? 1 : 0);
         proxy.metrics()
                 .registerGauge(
                         "config_version",
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoverySettings.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoverySettings.java
@@ -30,6 +30,7 @@
  *     that serves the first callers is already loaded and compiled
  * @param instancesSharingConnections number of instances among which the connection limit of each
  *     backend server is divided
+ * @param peerFeed settings of the port for other instances, or null to open none
  */
 public record DiscoverySettings(
         InetSocketAddress callerAddress,
@@ -44,4 +45,5 @@
         HttpDialect dialect,
         DecisionLogSettings decisionLog,
         boolean warmsUpJvm,
-        int instancesSharingConnections) {}
+        int instancesSharingConnections,
+        PeerFeedSettings peerFeed) {}
--- a/server/src/main/java/org/snipeslip/server/runtime/JvmWarmupEnvironment.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/JvmWarmupEnvironment.java
@@ -62,7 +62,7 @@
     private StateMachineDriver createDriver(DiscoverySettings settings) {
         DiscoveryInstance instance =
                 new DiscoveryInstance(
-                        settings.discovery(),
+                        settings.discovery().withoutPeers(),
                         settings.call(),
                         settings.region(),
                         settings.failureDomain(),
--- a/server/src/main/java/org/snipeslip/server/runtime/JvmWarmupStore.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/JvmWarmupStore.java
@@ -53,6 +53,8 @@
                             new DiscoveryResponse.Page(objects(page.kind()), false, REVISION));
             case DiscoveryRequest.Register register ->
                     consumer.accept(new DiscoveryResponse.Registered());
+            case DiscoveryRequest.PeerPoll poll ->
+                    throw new IllegalStateException("the warm-up has no peers");
             case DiscoveryRequest.Watch watch -> {
                 // Never answered: nothing changes, and nothing waits for the response after the
                 // warm-up has ended.
@@ -66,7 +68,11 @@
             case SERVERS -> List.of(object(SERVER.value(), new DiscoveryRecord.Server(server())));
             case EVACUATIONS -> List.of();
             case INSTANCES ->
-                    List.of(object("i", new DiscoveryRecord.Instance(new InstanceId("rehearsal"))));
+                    List.of(
+                            object(
+                                    "i",
+                                    new DiscoveryRecord.Instance(
+                                            new InstanceId("rehearsal"), "", "")));
         };
     }
 
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -93,7 +93,8 @@
         closed = true;
     }
 
-    private void execute(List<Action> actions) {
+    /** Executes actions, in order. */
+    void execute(List<Action> actions) {
         for (Action action : actions) {
             switch (action) {
                 case Action.SendTry a -> executeOnRelay(a.tryId().request(), a);
