Let a followed instance notice a silent connection to the store sooner

Change: while others follow it, the backup watches of an instance wait for two heartbeats instead of 2.5 s.

--- a/core/src/main/java/org/snipeslip/core/discovery/BackupWatch.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/BackupWatch.java
@@ -10,6 +10,12 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
+    /**
+     * Heartbeats during one backup watch of another kind, while others depend on this instance: a
+     * connection that has become silent must show in less than the time limit of a change.
+     */
+    private static final long FOLLOWED_WAITS = 2;
+
     private final DiscoveryKind kind;
     private final WatchSettings settings;
     private final OutageDetector outage;
@@ -58,7 +64,9 @@
 
     private long waitMillis() {
         if (kind != DiscoveryKind.EVACUATIONS) {
-            return settings.backupWatchMillis();
+            return followed
+                    ? FOLLOWED_WAITS * settings.followedHeartbeatMillis()
+                    : settings.backupWatchMillis();
         }
         if (outage.isFailing()) {
             return settings.outageWatchMillis();
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -137,8 +137,8 @@
         followedUntilNanos = nowNanos + settings.peers().followedMillis() * NANOS_PER_MILLI;
         if (!followed) {
             setFollowed(true);
-            // The pending heartbeat waits longer than others can rely on.
-            caches.get(DiscoveryKind.EVACUATIONS).restartHeartbeat(nowNanos);
+            // The pending backup watches wait longer than others can rely on.
+            caches.values().forEach(cache -> cache.restartBackupWatch(nowNanos));
             sendDueRequests(nowNanos, outbox);
             setTimer(nowNanos, outbox);
         }
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
@@ -238,7 +238,7 @@
     }
 
     /** Sends the next backup watch at once. */
-    void restartHeartbeat(long nowNanos) {
+    void restartBackupWatch(long nowNanos) {
         backupWatch.restart(nowNanos);
     }
 
