Shorten the pause of a watch when others begin to follow the instance

Cause: PeerFollowingTest, seed 2906: an instance that had just become followed was still in its longer pause between two watches and passed on nothing that only its backup watch had reported.

--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -136,7 +136,7 @@
         }
         followedUntilNanos = nowNanos + settings.peers().followedMillis() * NANOS_PER_MILLI;
         if (!followed) {
-            setFollowed(true);
+            setFollowed(true, nowNanos);
             // The pending backup watches wait longer than others can rely on.
             caches.values().forEach(cache -> cache.restartBackupWatch(nowNanos));
             sendDueRequests(nowNanos, outbox);
@@ -156,7 +156,7 @@
     public synchronized void handle(Event event, long nowNanos, Outbox outbox) {
         if (nowNanos >= followedUntilNanos) {
             followedUntilNanos = NEVER;
-            setFollowed(false);
+            setFollowed(false, nowNanos);
         }
         switch (event) {
             case Event.Started started -> start(nowNanos, outbox);
@@ -317,7 +317,7 @@
         readStoreWithoutPeers(nowNanos);
     }
 
-    private void setFollowed(boolean newFollowed) {
+    private void setFollowed(boolean newFollowed, long nowNanos) {
         if (followed == newFollowed) {
             return;
         }
@@ -325,7 +325,7 @@
         long batchMillis =
                 followed ? settings.peers().followedBatchMillis() : settings.watch().batchMillis();
         for (WatchCache cache : caches.values()) {
-            cache.setFollowed(followed, batchMillis);
+            cache.setFollowed(followed, batchMillis, nowNanos);
         }
     }
 
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
@@ -87,8 +87,11 @@
      *
      * @param newBatchMillis pause between a response with changes and the next main watch
      */
-    void setFollowed(boolean followed, long newBatchMillis) {
+    void setFollowed(boolean followed, long newBatchMillis, long nowNanos) {
         batchMillis = newBatchMillis;
+        if (dueNanos != NEVER) {
+            dueNanos = Math.min(dueNanos, nowNanos + batchMillis * NANOS_PER_MILLI);
+        }
         backupWatch.setFollowed(followed);
     }
 
