Continue with a watch after a list of another instance

The list ended the pending request, and no watch followed; only the backup watch went on, without detecting that the main one was missing.

--- a/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
@@ -167,7 +167,8 @@
      */
     boolean applyPeerList(DiscoveryResponse.Changes list, long nowNanos) {
         pending = null;
-        dueNanos = NEVER;
+        // Continues with a watch unless the copy is suspended.
+        dueNanos = nowNanos;
         resetList();
         list.objects().forEach(object -> listed.put(object.name(), object));
         listRevision = list.revision();
--- a/core/src/test/java/org/snipeslip/core/discovery/PeerFollowingTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/PeerFollowingTest.java
@@ -42,8 +42,11 @@
     private int version;
     private long storeDisturbedUntilNanos;
 
+    /** Seeds that failed once, and as many others as the property says. */
     static IntStream seeds() {
-        return IntStream.range(0, Integer.getInteger("snipeslip.followingSeeds", 60));
+        return IntStream.concat(
+                IntStream.of(409, 431, 1205, 2906),
+                IntStream.range(0, Integer.getInteger("snipeslip.followingSeeds", 60)));
     }
 
     /**
