Bound the bytes of a response that bring no end of its head, chunk line or trailer

Cause: the HTTP client of Undertow bounds neither a head nor a chunk line of a response. A backend server that sends a status line, a field, interim responses or a chunk extension without end filled the memory of the instance and kept its I/O thread busy until the sender stopped; bodies that are kept in memory (health answers, store) had no bound either.

Change: a conduit below the parser counts the bytes since the last progress (a request sent, a head or a part of a body received) and fails the connection above 64 KiB, for the store and other instances above 4 MiB a response.

SimpleHttpClientTest passes.

--- a/server/src/main/java/org/snipeslip/server/http/BackendConnectionPool.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendConnectionPool.java
@@ -7,6 +7,7 @@
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
 import java.net.URI;
+import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +40,7 @@
     private final int instances;
     private final ConcurrentHashMap<String, BackendServerConnections> byAuthority =
             new ConcurrentHashMap<>();
+    private final Map<ClientConnection, ProgressLimit> limits = new ConcurrentHashMap<>();
     private final LongAdder openConnections = new LongAdder();
     private volatile boolean closed;
 
@@ -113,6 +115,17 @@
                         });
     }
 
+    /**
+     * Reports that a request was sent, or that a head or a part of a body was received. A
+     * connection with many bytes in between is broken.
+     */
+    void madeProgress(ClientConnection connection) {
+        ProgressLimit limit = limits.get(connection);
+        if (limit != null) {
+            limit.progress();
+        }
+    }
+
     /** Returns a connection to the pool; its request and response must both be complete. */
     void release(BackendServer server, ClientConnection connection, long usableNanos) {
         // Deferred to a separate task, so that Undertow's client first reads any bytes that follow
@@ -167,9 +180,11 @@
             XnioIoThread ioThread,
             Listener listener) {
         openConnections.increment();
-        ConnectAttempt callback = new ConnectAttempt(server, connections, ioThread, listener);
+        LimitingConnector connector = new LimitingConnector(ioThread, MAX_HEADER_BYTES);
+        ConnectAttempt callback =
+                new ConnectAttempt(server, connections, ioThread, connector, listener);
         URI uri = URI.create("http://" + authority(server));
-        UndertowClient.getInstance().connect(callback, uri, ioThread, buffers, OPTIONS);
+        UndertowClient.getInstance().connect(callback, uri, connector, buffers, OPTIONS);
     }
 
     /**
@@ -180,6 +195,7 @@
         private final BackendServer server;
         private final BackendServerConnections connections;
         private final Listener listener;
+        private final LimitingConnector connector;
         private final XnioExecutor.Key timeout;
         private boolean ended;
 
@@ -187,10 +203,12 @@
                 BackendServer server,
                 BackendServerConnections connections,
                 XnioIoThread ioThread,
+                LimitingConnector connector,
                 Listener listener) {
             this.server = server;
             this.connections = connections;
             this.listener = listener;
+            this.connector = connector;
             this.timeout =
                     ioThread.executeAfter(
                             this::onTimeout, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
@@ -199,7 +217,12 @@
         @Override
         public void completed(ClientConnection result) {
             timeout.remove();
-            result.addCloseListener(closedConnection -> connectionClosed(connections));
+            limits.put(result, connector.limit());
+            result.addCloseListener(
+                    closedConnection -> {
+                        limits.remove(result);
+                        connectionClosed(connections);
+                    });
             if (markEnded()) {
                 listener.connected(result);
             } else {
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -106,6 +106,13 @@
         }
     }
 
+    /** Called when a part of the response was received. */
+    void madeProgress() {
+        if (connection != null) {
+            connections.madeProgress(connection);
+        }
+    }
+
     /** Ends the try and closes its connection; returns false if the try had already ended. */
     boolean endAndClose() {
         if (!markEnded()) {
@@ -155,6 +162,7 @@
             return;
         }
         connection = acquired;
+        madeProgress();
         sentNanos = System.nanoTime();
         acquired.sendRequest(
                 BackendRequestBuilder.build(relay, action, remainingMillis()),
@@ -229,6 +237,7 @@
         if (ended) {
             return;
         }
+        madeProgress();
         ClientResponse response = result.getResponse();
         if (!ResponseValidator.isWellFramed(response)) {
             fail(TryFailure.MALFORMED, LoadReport.UNKNOWN);
--- /dev/null
+++ b/server/src/main/java/org/snipeslip/server/http/LimitingConnector.java
@@ -0,0 +1,70 @@
+package org.snipeslip.server.http;
+
+import java.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/**
+ * Opens the connection of an Undertow client with a {@link ProgressLimit} below its HTTP parser.
+ * Undertow creates its connection inside the connect call, with no other place for a conduit.
+ * Everything else is delegated to the real I/O thread; this one is never started.
+ */
+final class LimitingConnector extends XnioIoThread {
+    private final XnioIoThread ioThread;
+    private final long maxBytes;
+    private ProgressLimit limit;
+
+    /**
+     * Creates a connector for one connection.
+     *
+     * @param ioThread runs the connection
+     * @param maxBytes most bytes that may be read without progress
+     */
+    LimitingConnector(XnioIoThread ioThread, long maxBytes) {
+        super(ioThread.getWorker(), ioThread.getNumber());
+        this.ioThread = ioThread;
+        this.maxBytes = maxBytes;
+    }
+
+    /** Returns the limit of the connection, once it is open. */
+    ProgressLimit limit() {
+        return limit;
+    }
+
+    @Override
+    public IoFuture<StreamConnection> openStreamConnection(
+            SocketAddress destination,
+            ChannelListener<? super StreamConnection> openListener,
+            OptionMap options) {
+        return ioThread.openStreamConnection(
+                destination,
+                connection -> {
+                    ConduitStreamSourceChannel source = connection.getSourceChannel();
+                    limit = new ProgressLimit(source.getConduit(), maxBytes);
+                    source.setConduit(limit);
+                    openListener.handleEvent(connection);
+                },
+                options);
+    }
+
+    @Override
+    public void execute(Runnable command) {
+        ioThread.execute(command);
+    }
+
+    @Override
+    public Key executeAfter(Runnable command, long time, TimeUnit unit) {
+        return ioThread.executeAfter(command, time, unit);
+    }
+
+    @Override
+    public XnioExecutor.Key executeAtInterval(Runnable command, long time, TimeUnit unit) {
+        return ioThread.executeAtInterval(command, time, unit);
+    }
+}
--- a/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
@@ -97,6 +97,8 @@
                 return;
             }
             connection = acquired;
+            // The limit holds for the whole response, whose body is kept in memory.
+            connections.madeProgress(acquired);
             URI origin = URI.create("http://" + BackendConnectionPool.authority(action.target()));
             new SimpleHttpExchange(acquired, buffers, this)
                     .send(new SimpleHttpRequest(origin, "GET", action.path(), Map.of(), ""));
--- a/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
@@ -65,6 +65,7 @@
 
     @Override
     public void beforeWrite(ByteBuffer bytes) {
+        backendTry.madeProgress();
         if (recorder != null) {
             recorder.append(bytes);
         }
--- a/server/src/main/java/org/snipeslip/server/http/SimpleHttpClient.java
+++ b/server/src/main/java/org/snipeslip/server/http/SimpleHttpClient.java
@@ -25,10 +25,14 @@
 public final class SimpleHttpClient {
     private static final int DEFAULT_MAX_IDLE_PER_ORIGIN = 8;
 
+    /** Four times the largest object or page of the object API; the body is kept in memory. */
+    private static final long MAX_RESPONSE_BYTES = 4L << 20;
+
     private final XnioIoThread ioThread;
     private final ByteBufferPool buffers;
     private final int maxIdlePerOrigin;
     private final Map<URI, Deque<ClientConnection>> idle = new HashMap<>();
+    private final Map<ClientConnection, ProgressLimit> limits = new HashMap<>();
 
     /**
      * Creates a client.
@@ -98,11 +102,14 @@
         }
 
         private void connect() {
+            LimitingConnector connector = new LimitingConnector(ioThread, MAX_RESPONSE_BYTES);
             UndertowClient.getInstance()
                     .connect(
                             new ClientCallback<ClientConnection>() {
                                 @Override
                                 public void completed(ClientConnection acquired) {
+                                    limits.put(acquired, connector.limit());
+                                    acquired.addCloseListener(limits::remove);
                                     sendOn(acquired);
                                 }
 
@@ -112,7 +119,7 @@
                                 }
                             },
                             request.origin(),
-                            ioThread,
+                            connector,
                             buffers,
                             OptionMap.create(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024));
         }
@@ -124,6 +131,7 @@
             }
             connection = acquired;
             sent = true;
+            limits.get(acquired).progress();
             new SimpleHttpExchange(acquired, buffers, this).send(request);
         }
 
