Give a restarted server no state of its earlier incarnation

Cause: the state of a removed server with open calls was handed to the next entry of its name, also when that was another incarnation: its load, errors and warm-up applied to a process that knew nothing of them.

Change: the incarnation is compared for removed servers too. The simulation of discovery uses the virtual time of the call tests.

--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -110,14 +110,15 @@
         for (BackendServer server : servers) {
             FailureDomain domain = config.failureDomains().get(server.failureDomain());
             ServerState known = previous.remove(server.id());
-            if (known != null && known.server.incarnation() != server.incarnation()) {
-                detachRestarted(known);
-                known = null;
-            }
             boolean wasInService = known != null && known.isInService();
             if (known == null) {
                 known = detached.remove(server.id());
             }
+            if (known != null && known.server.incarnation() != server.incarnation()) {
+                detachRestarted(known);
+                known = null;
+                wasInService = false;
+            }
             ServerState state = known == null ? new ServerState(serviceLoad) : known;
             state.configure(server, domain, location.distanceTo(domain), instanceShare);
             if (known == null && firstConfig) {
--- a/core/src/test/java/org/snipeslip/core/call/VirtualTime.java
+++ b/core/src/test/java/org/snipeslip/core/call/VirtualTime.java
@@ -5,7 +5,7 @@
 import java.util.PriorityQueue;
 
 /** Runs scheduled tasks in the order of their virtual times. */
-class VirtualTime {
+public class VirtualTime {
     private static final int MAX_TASKS_AT_ONE_TIME = 10_000;
 
     long nowNanos;
@@ -14,7 +14,21 @@
     private long sequence;
     private int tasksAtSameTime;
 
-    void runFor(long nanos) {
+    /**
+     * Returns the current time.
+     *
+     * @return the time in nanoseconds, 0 at the start
+     */
+    public long nowNanos() {
+        return nowNanos;
+    }
+
+    /**
+     * Runs all tasks that are due within a time.
+     *
+     * @param nanos the time in nanoseconds
+     */
+    public void runFor(long nanos) {
         long end = nowNanos + nanos;
         while (!tasks.isEmpty() && tasks.peek().atNanos <= end) {
             Task task = tasks.poll();
@@ -28,8 +42,14 @@
         nowNanos = end;
     }
 
-    /** Schedules a task and returns its sequence number, which orders tasks of equal time. */
-    long schedule(long delayNanos, Runnable work) {
+    /**
+     * Schedules a task.
+     *
+     * @param delayNanos time until it runs
+     * @param work the task
+     * @return its sequence number, which orders tasks of equal time
+     */
+    public long schedule(long delayNanos, Runnable work) {
         tasks.add(new Task(nowNanos + delayNanos, ++sequence, work));
         return sequence;
     }
--- a/core/src/test/java/org/snipeslip/core/discovery/PeerFollowingTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/PeerFollowingTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.snipeslip.core.call.VirtualTime;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.ServiceId;
 
@@ -21,6 +22,7 @@
  * store must apply each change in time, whatever happens to the instance that it follows.
  */
 class PeerFollowingTest {
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long SECOND_NANOS = 1_000_000_000;
 
     /** The shortest time limit of the platform for a change that the store has acknowledged. */
@@ -58,15 +60,15 @@
     void appliesEachChangeInTimeUnderFaults(int seed) {
         SplittableRandom random = new SplittableRandom(seed);
         startAll(12, true);
-        time.runUntil(START_NANOS);
+        time.runFor(START_NANOS);
         assertThat(instances.stream().filter(SimulatedFollower::followsPeer)).hasSize(11);
         for (int step = 0; step < 100; step++) {
-            time.after(step * 300, () -> change(random));
+            after(step * 300, () -> change(random));
             if (random.nextInt(4) == 0) {
-                time.after(step * 300 + random.nextInt(300), () -> harm(random));
+                after(step * 300 + random.nextInt(300), () -> harm(random));
             }
         }
-        time.runUntil(START_NANOS + 60 * SECOND_NANOS);
+        time.runFor(60 * SECOND_NANOS);
 
         assertThat(violations).isEmpty();
         for (SimulatedFollower instance : instances) {
@@ -89,13 +91,13 @@
 
     private double priceOfDay(int count, boolean followsPeers) {
         startAll(count, followsPeers);
-        time.runUntil(START_NANOS);
+        time.runFor(START_NANOS);
         double atStart = store.price();
         SplittableRandom random = new SplittableRandom(1);
         for (int step = 0; step < 20; step++) {
-            time.after(step * 2_000, () -> change(random));
+            after(step * 2_000, () -> change(random));
         }
-        time.runUntil(START_NANOS + 45 * SECOND_NANOS);
+        time.runFor(45 * SECOND_NANOS);
         assertThat(violations).isEmpty();
         return store.price() - atStart;
     }
@@ -110,7 +112,7 @@
                     new SimulatedFollower(
                             "front-" + i, time, store, byAddress, followsPeers, violations);
             instances.add(instance);
-            time.after(i * 300.0 / count, instance::start);
+            after(i * 300.0 / count, instance::start);
         }
     }
 
@@ -131,7 +133,7 @@
         Set<String> expected = Set.copyOf(present);
         int expectedVersion = version;
         long changedNanos = time.nowNanos();
-        time.after(LIMIT_NANOS / 1e6, () -> check(expected, expectedVersion, changedNanos));
+        after(LIMIT_NANOS / 1e6, () -> check(expected, expectedVersion, changedNanos));
     }
 
     /** Checks that all instances in touch know at least what was acknowledged at a time. */
@@ -186,7 +188,7 @@
         switch (random.nextInt(8)) {
             case 0, 1 -> {
                 victim.kill();
-                time.after(random.nextInt(200, 3_000), victim::start);
+                after(random.nextInt(200, 3_000), victim::start);
             }
             case 2, 3 -> victim.freeze(random.nextInt(100, 5_000));
             case 4, 5 -> victim.cutFromStore(random.nextInt(200, 6_000));
@@ -196,7 +198,7 @@
                     store.compact();
                 } else {
                     store.setDown(true);
-                    time.after(
+                    after(
                             random.nextInt(200, 5_000),
                             () -> {
                                 store.setDown(false);
@@ -236,4 +238,8 @@
                                 0,
                                 1)));
     }
+
+    private void after(double millis, Runnable work) {
+        time.schedule((long) (millis * NANOS_PER_MILLI), work);
+    }
 }
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.snipeslip.core.call.VirtualTime;
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.Service;
 import org.snipeslip.core.id.FailureDomainId;
@@ -20,6 +21,7 @@
  * instances, and the faults of both.
  */
 final class SimulatedFollower {
+    private static final long NANOS_PER_MILLI = 1_000_000;
     static final RegionId REGION = new RegionId("ra");
     static final FailureDomainId DOMAIN = new FailureDomainId("za");
 
@@ -139,7 +141,7 @@
     void freeze(double millis) {
         frozen = true;
         int frozenIncarnation = incarnation;
-        time.after(
+        after(
                 millis,
                 () -> {
                     if (alive && frozen && incarnation == frozenIncarnation) {
@@ -154,7 +156,7 @@
 
     void cutFromStore(double millis) {
         storeCut = true;
-        time.after(
+        after(
                 millis,
                 () -> {
                     storeCut = false;
@@ -164,7 +166,7 @@
 
     void cutFromPeers(double millis) {
         peersCut = true;
-        time.after(millis, () -> peersCut = false);
+        after(millis, () -> peersCut = false);
     }
 
     private String address() {
@@ -196,7 +198,7 @@
         switch (action) {
             case Action.SendDiscoveryRequest send -> send(send.request());
             case Action.SetTimer timer ->
-                    time.after(
+                    after(
                             timer.delayNanos() / 1e6,
                             () -> handle(new Event.TimerFired(timer.timer())));
             case Action.ConfigAdopted adopted -> {
@@ -239,22 +241,22 @@
                         handle(new Event.DiscoveryResponded(request, response));
                     }
                 };
-        time.after(
+        after(
                 timeoutMillis(request),
                 () -> consumer.accept(new DiscoveryResponse.Failed(false, "timeout")));
         if (request instanceof DiscoveryRequest.PeerPoll poll) {
             SimulatedFollower peer = byAddress.get(poll.address());
             if (!peersCut && !peer.peersCut) {
-                time.after(LINK_MILLIS, () -> peer.receive(poll, deliverUnlessCut(peer, consumer)));
+                after(LINK_MILLIS, () -> peer.receive(poll, deliverUnlessCut(peer, consumer)));
             }
         } else if (!storeCut) {
-            time.after(
+            after(
                     STORE_LINK_MILLIS,
                     () ->
                             store.call(
                                     request,
                                     response ->
-                                            time.after(
+                                            after(
                                                     STORE_LINK_MILLIS,
                                                     () -> {
                                                         if (!storeCut) {
@@ -267,7 +269,7 @@
     private Consumer<DiscoveryResponse> deliverUnlessCut(
             SimulatedFollower peer, Consumer<DiscoveryResponse> consumer) {
         return response ->
-                time.after(
+                after(
                         LINK_MILLIS,
                         () -> {
                             if (!peersCut && !peer.peersCut) {
@@ -286,9 +288,7 @@
                     Poll poll = new Poll(request, consumer);
                     polls.add(poll);
                     poll.tryAnswer(request.waitMillis() == 0);
-                    time.after(
-                            request.waitMillis(),
-                            () -> runUnlessFrozen(() -> poll.tryAnswer(true)));
+                    after(request.waitMillis(), () -> runUnlessFrozen(() -> poll.tryAnswer(true)));
                 });
     }
 
@@ -332,4 +332,8 @@
             consumer.accept(response);
         }
     }
+
+    private void after(double millis, Runnable work) {
+        time.schedule((long) (millis * NANOS_PER_MILLI), work);
+    }
 }
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
@@ -6,11 +6,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.snipeslip.core.call.VirtualTime;
 
 /**
  * The platform's store in virtual time: objects, history, waiting watches and the price of calls.
  */
 final class SimulatedStore {
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double STALE_PRICE = 0.1;
 
     private final VirtualTime time;
@@ -99,7 +101,7 @@
                 } else if (changes(watch).objects().isEmpty()) {
                     WaitingWatch waitingWatch = new WaitingWatch(watch, consumer);
                     waiting.add(waitingWatch);
-                    time.after(
+                    after(
                             watch.waitMillis(),
                             () -> {
                                 if (waiting.remove(waitingWatch)) {
@@ -144,4 +146,8 @@
 
     private record WaitingWatch(
             DiscoveryRequest.Watch request, Consumer<DiscoveryResponse> consumer) {}
+
+    private void after(double millis, Runnable work) {
+        time.schedule((long) (millis * NANOS_PER_MILLI), work);
+    }
 }
