--- a/server/src/main/java/org/snipeslip/server/runtime/OutageLoggingStore.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/OutageLoggingStore.java
@@ -27,7 +27,10 @@
         delegate.send(
                 request,
                 response -> {
-                    logStateChange(request, response, System.nanoTime());
+                    // Another instance that does not answer says nothing of the store.
+                    if (!(request instanceof DiscoveryRequest.PeerPoll)) {
+                        logStateChange(request, response, System.nanoTime());
+                    }
                     consumer.accept(response);
                 });
     }
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -12,6 +12,7 @@
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.Service;
+import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.instance.Action;
@@ -149,7 +150,9 @@
     }
 
     private void storeResponded(Action.SendDiscoveryRequest action, DiscoveryResponse response) {
-        metrics.storeCallEnded(response instanceof DiscoveryResponse.Failed);
+        if (!(action.request() instanceof DiscoveryRequest.PeerPoll)) {
+            metrics.storeCallEnded(response instanceof DiscoveryResponse.Failed);
+        }
         handle(new Event.DiscoveryResponded(action.request(), response));
     }
 
