Read the lists at once when an instance starts

Cause: an instance that started asked others before it read its lists.

Change: the lists are read at once; only the watches wait for others. Whole lists are asked of another instance only while the store does not answer.

--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -176,7 +176,10 @@
         if (follower == null) {
             caches.values().forEach(cache -> send(cache.start(), outbox));
         } else {
+            // The lists are read at once, because callers may be waiting; the watches wait for
+            // peers.
             caches.values().forEach(WatchCache::suspend);
+            caches.values().forEach(cache -> cache.resumeList(nowNanos));
             startEndNanos = nowNanos + settings.peers().startMillis() * NANOS_PER_MILLI;
         }
     }
@@ -288,20 +291,15 @@
         caches.values().forEach(cache -> cache.resume(nowNanos));
     }
 
-    /** Reads the store itself if no other instance is there, or the start has taken too long. */
+    /** Watches the store itself if no other instance is there, or the start has taken too long. */
     private void readStoreWithoutPeers(long nowNanos) {
         if (startEndNanos == NEVER || follower.isFollowing()) {
             return;
         }
-        if (nowNanos >= startEndNanos) {
+        // Without others in the list, they may be starting too.
+        boolean alone = registry.knowsOthers() && !follower.hasCandidateBefore(startEndNanos);
+        if (nowNanos >= startEndNanos || alone) {
             followStore(nowNanos);
-        } else if (registry.hasRead() && !follower.hasCandidateBefore(startEndNanos)) {
-            if (registry.knowsOthers()) {
-                followStore(nowNanos);
-            } else {
-                // Others may be starting too: the lists are read, the watches wait for them.
-                caches.values().forEach(cache -> cache.resumeList(nowNanos));
-            }
         }
     }
 
@@ -350,9 +348,14 @@
         }
     }
 
-    /** An instance that others follow stays with the store. */
+    /**
+     * Returns whether another instance may be asked: not by one that others follow, and for whole
+     * lists only if the store does not answer.
+     */
     private boolean mayAskPeers() {
-        return follower != null && (!followed || follower.isFollowing());
+        return follower != null
+                && (!followed || follower.isFollowing())
+                && (cachesComplete() || outage.isFailing());
     }
 
     private Map<DiscoveryKind, Long> revisions() {
--- a/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
@@ -27,7 +27,6 @@
     private final Map<String, DiscoveryRecord.Instance> instances = new TreeMap<>();
     private final List<DiscoveryObject> listed = new ArrayList<>();
     private boolean registered;
-    private boolean read;
     private int earlyReads;
     private long startedNanos;
     private DiscoveryRequest pending;
@@ -47,11 +46,6 @@
         return dueNanos;
     }
 
-    /** Returns whether the first list was read, or could not be read. */
-    boolean hasRead() {
-        return read;
-    }
-
     /** Returns whether the last list has other instances. */
     boolean knowsOthers() {
         return instances.keySet().stream().anyMatch(n -> !n.equals(settings.instance().value()));
@@ -87,7 +81,6 @@
     /** Handles the response to the pending request; returns whether a list was read completely. */
     boolean handleResponse(DiscoveryResponse response, long nowNanos) {
         pending = null;
-        read = true;
         switch (response) {
             case DiscoveryResponse.Registered confirmation -> {
                 registered = true;
