Keep the known objects and the probe of the store in classes of their own

Change: KnownObjects holds objects, removals and their grace; StoreProbe the cheap requests of a follower.

--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -21,9 +21,6 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
-    /** The response only shows whether the store is reached. */
-    private static final long STORE_PROBE_WAIT_MILLIS = 1;
-
     private static final List<DiscoveryKind> WATCHED_KINDS =
             List.of(DiscoveryKind.CONFIG, DiscoveryKind.SERVERS, DiscoveryKind.EVACUATIONS);
 
@@ -36,11 +33,7 @@
     /** Null if only the store is asked. */
     private final PeerFollower follower;
 
-    /** Asks whether this instance reaches the store that the followed one has lost. */
-    private DiscoveryRequest pendingStoreProbe;
-
-    private long storeProbeDueNanos = NEVER;
-    private long storeProbes;
+    private final StoreProbe storeProbe = new StoreProbe();
 
     /** Until then, other instances are looked for before the store is watched. */
     private long startEndNanos = NEVER;
@@ -193,7 +186,7 @@
             }
         } else if (follower != null && follower.awaits(request)) {
             handlePeerResponse(request, response, nowNanos, outbox);
-        } else if (request.equals(pendingStoreProbe)) {
+        } else if (storeProbe.ends(request)) {
             handleStoreProbe(response, nowNanos);
         } else {
             handleStoreResponse(request, response, nowNanos, outbox);
@@ -233,7 +226,7 @@
             case APPLY_FIRST, APPLY -> {
                 caches.values().forEach(WatchCache::suspend);
                 startEndNanos = NEVER;
-                storeProbeDueNanos = NEVER;
+                storeProbe.cancel();
                 // Before the changes, so that servers that were removed in an outage are kept.
                 outage.recordSuccess(nowNanos);
                 applyPeer((DiscoveryResponse.PeerChanges) response, isList, nowNanos, outbox);
@@ -242,8 +235,8 @@
                 applyPeer((DiscoveryResponse.PeerChanges) response, isList, nowNanos, outbox);
                 if (!follower.isFollowing()) {
                     followStore(nowNanos);
-                } else if (storeProbeDueNanos == NEVER && pendingStoreProbe == null) {
-                    storeProbeDueNanos = nowNanos;
+                } else {
+                    storeProbe.schedule(nowNanos);
                 }
             }
             case LOST -> followStore(nowNanos);
@@ -271,13 +264,12 @@
     }
 
     private void handleStoreProbe(DiscoveryResponse response, long nowNanos) {
-        pendingStoreProbe = null;
         if (!follower.isFollowing()) {
             return;
         }
         if (response instanceof DiscoveryResponse.Failed) {
             outage.recordFailure(nowNanos);
-            storeProbeDueNanos = nowNanos + settings.peers().storeProbeMillis() * NANOS_PER_MILLI;
+            storeProbe.schedule(nowNanos + settings.peers().storeProbeMillis() * NANOS_PER_MILLI);
         } else {
             outage.recordSuccess(nowNanos);
             follower.leave(nowNanos);
@@ -287,7 +279,7 @@
 
     private void followStore(long nowNanos) {
         startEndNanos = NEVER;
-        storeProbeDueNanos = NEVER;
+        storeProbe.cancel();
         caches.values().forEach(cache -> cache.resume(nowNanos));
     }
 
@@ -335,17 +327,8 @@
         if (follower != null && !followed) {
             send(follower.dueRequest(revisions(), nowNanos), outbox);
         }
-        if (nowNanos >= storeProbeDueNanos) {
-            storeProbeDueNanos = NEVER;
-            pendingStoreProbe =
-                    new DiscoveryRequest.Watch(
-                            DiscoveryKind.EVACUATIONS,
-                            caches.get(DiscoveryKind.EVACUATIONS).revision(),
-                            STORE_PROBE_WAIT_MILLIS,
-                            true,
-                            --storeProbes);
-            send(pendingStoreProbe, outbox);
-        }
+        long evacuationsRevision = caches.get(DiscoveryKind.EVACUATIONS).revision();
+        send(storeProbe.dueRequest(evacuationsRevision, nowNanos), outbox);
     }
 
     /**
@@ -391,7 +374,7 @@
     }
 
     private void setTimer(long nowNanos, Outbox outbox) {
-        long due = Math.min(registry.dueNanos(), storeProbeDueNanos);
+        long due = Math.min(registry.dueNanos(), storeProbe.dueNanos());
         due = Math.min(due, startEndNanos);
         for (WatchCache cache : caches.values()) {
             due = Math.min(due, cache.dueNanos());
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -20,9 +19,6 @@
     private static final long NEVER = Long.MAX_VALUE;
     private static final int MAX_DOUBLINGS = 10;
 
-    /** Removals that are remembered for other instances; about twenty bytes each and the name. */
-    private static final int MAX_REMOVED = 2_048;
-
     /** Minimum wait of a watch, which then returns the changes that already exist. */
     private static final long MIN_WAIT_MILLIS = 1;
 
@@ -31,11 +27,7 @@
     private final OutageDetector outage;
     private final RandomGenerator random;
     private final BackupWatch backupWatch;
-    private final Map<String, DiscoveryObject> objects = new HashMap<>();
-
-    /** Times at which objects that were removed in an outage are dropped from the copy. */
-    private final Map<String, Long> removalDeadlines = new HashMap<>();
-
+    private final KnownObjects objects;
     private final Map<String, DiscoveryObject> listed = new HashMap<>();
     private State state = State.LISTING;
     private String lastListedName = "";
@@ -50,12 +42,6 @@
 
     private long revision = -1;
 
-    /** Objects that were removed, by the revision at which that was learned, oldest first. */
-    private final Map<String, Long> removedRevisions = new LinkedHashMap<>();
-
-    /** Revision from which on all removals are among {@link #removedRevisions}. */
-    private long historyStartRevision = -1;
-
     private long batchMillis;
 
     /** True while another instance is followed instead of the store. */
@@ -79,6 +65,7 @@
         this.outage = outage;
         this.random = random;
         this.backupWatch = new BackupWatch(kind, settings, outage);
+        this.objects = new KnownObjects(kind, outage);
         this.batchMillis = settings.batchMillis();
     }
 
@@ -96,7 +83,7 @@
     }
 
     Map<String, DiscoveryObject> objects() {
-        return objects;
+        return objects.asMap();
     }
 
     /** Returns whether the list was read completely at least once. */
@@ -120,31 +107,7 @@
      * @return the changes, or null if they are no longer known
      */
     DiscoveryResponse.Changes changesSince(long sinceRevision) {
-        boolean whole = sinceRevision < 0;
-        if (!whole && sinceRevision < historyStartRevision) {
-            return null;
-        }
-        List<DiscoveryObject> changes = new ArrayList<>();
-        for (DiscoveryObject object : objects.values()) {
-            boolean news = whole || isNews(object.revision(), sinceRevision);
-            if (news && !removalDeadlines.containsKey(object.name())) {
-                changes.add(object);
-            }
-        }
-        if (!whole) {
-            removedRevisions.forEach(
-                    (name, removedRevision) -> {
-                        if (isNews(removedRevision, sinceRevision)) {
-                            changes.add(DiscoveryObject.deleted(name, removedRevision));
-                        }
-                    });
-        }
-        return new DiscoveryResponse.Changes(changes, revision);
-    }
-
-    /** What only a backup watch has reported follows when the main watch has caught up with it. */
-    private boolean isNews(long changeRevision, long sinceRevision) {
-        return changeRevision > sinceRevision && changeRevision <= revision;
+        return objects.changesSince(sinceRevision, revision);
     }
 
     /**
@@ -154,7 +117,7 @@
      * @return whether the objects changed
      */
     boolean applyPeerChanges(DiscoveryResponse.Changes changes, long nowNanos) {
-        boolean changed = applyAll(changes.objects(), changes.revision(), nowNanos);
+        boolean changed = objects.applyAll(changes.objects(), changes.revision(), nowNanos);
         revision = Math.max(revision, changes.revision());
         return changed;
     }
@@ -209,10 +172,7 @@
         boolean watching = isComplete() && !suspended;
         long due =
                 Math.min(isActive() ? dueNanos : NEVER, watching ? backupWatch.dueNanos() : NEVER);
-        for (long end : removalDeadlines.values()) {
-            due = Math.min(due, end);
-        }
-        return due;
+        return Math.min(due, objects.nextRemovalNanos());
     }
 
     /** Marks the requests that are due as pending and returns them. */
@@ -254,14 +214,7 @@
 
     /** Drops removed objects whose grace period has ended; returns whether there were any. */
     boolean removeExpired(long nowNanos) {
-        boolean changed = false;
-        for (Map.Entry<String, Long> removal : List.copyOf(removalDeadlines.entrySet())) {
-            if (nowNanos >= removal.getValue()) {
-                removalDeadlines.remove(removal.getKey());
-                changed |= objects.remove(removal.getKey()) != null;
-            }
-        }
-        return changed;
+        return objects.removeExpired(nowNanos);
     }
 
     /** Returns whether a request is pending, so that its response is to be handled. */
@@ -293,7 +246,7 @@
                 dueNanos = nowNanos + (batch ? batchMillis * NANOS_PER_MILLI : 0);
                 boolean changed = state == State.CATCHING_UP && applyList(nowNanos);
                 revision = Math.max(revision, changes.revision());
-                yield changed | applyAll(changes.objects(), changes.revision(), nowNanos);
+                yield changed | objects.applyAll(changes.objects(), changes.revision(), nowNanos);
             }
             case DiscoveryResponse.HistoryDiscarded discarded -> {
                 recordSuccess(nowNanos);
@@ -312,7 +265,7 @@
         switch (response) {
             case DiscoveryResponse.Changes changes -> {
                 outage.recordSuccess(nowNanos);
-                changed = applyAll(changes.objects(), changes.revision(), nowNanos);
+                changed = objects.applyAll(changes.objects(), changes.revision(), nowNanos);
             }
             case DiscoveryResponse.Failed failed -> outage.recordFailure(nowNanos);
             case DiscoveryResponse.HistoryDiscarded discarded -> {
@@ -334,20 +287,6 @@
         backupWatch.mainWatchAnswered();
     }
 
-    /**
-     * Applies changes that are complete up to a revision. Only the last change of each object
-     * counts: an earlier one may already be outdated by what another watch has reported.
-     */
-    private boolean applyAll(List<DiscoveryObject> changes, long learnedRevision, long nowNanos) {
-        Map<String, DiscoveryObject> lastChanges = new LinkedHashMap<>();
-        changes.forEach(change -> lastChanges.put(change.name(), change));
-        boolean changed = false;
-        for (DiscoveryObject object : lastChanges.values()) {
-            changed |= apply(object, learnedRevision, nowNanos);
-        }
-        return changed;
-    }
-
     private boolean addPage(DiscoveryResponse.Page page, long nowNanos) {
         dueNanos = nowNanos;
         if (firstPageRevision < 0) {
@@ -372,16 +311,7 @@
     }
 
     private boolean applyList(long nowNanos) {
-        boolean changed =
-                !isComplete() | applyAll(List.copyOf(listed.values()), listRevision, nowNanos);
-        for (DiscoveryObject known : List.copyOf(objects.values())) {
-            // Objects that the backup watch reported after the list are kept.
-            if (!listed.containsKey(known.name()) && known.revision() <= listRevision) {
-                changed |= remove(known.name(), listRevision, nowNanos);
-            }
-        }
-        // Objects that came and went since the last watch are not among the removed ones.
-        historyStartRevision = listRevision;
+        boolean changed = !isComplete() | objects.replaceAll(listed, listRevision, nowNanos);
         revision = Math.max(revision, listRevision);
         resetList();
         state = State.WATCHING;
@@ -403,48 +333,6 @@
         listRevision = -1;
     }
 
-    private boolean apply(DiscoveryObject object, long learnedRevision, long nowNanos) {
-        DiscoveryObject known = objects.get(object.name());
-        if (known != null && known.revision() > object.revision()) {
-            return false;
-        }
-        if (object.deleted()) {
-            // The entry of a deletion may carry the revision of the change before it.
-            return remove(object.name(), Math.max(object.revision(), learnedRevision), nowNanos);
-        }
-        Long removedRevision = removedRevisions.get(object.name());
-        if (removedRevision != null && object.revision() <= removedRevision) {
-            return false;
-        }
-        removalDeadlines.remove(object.name());
-        removedRevisions.remove(object.name());
-        objects.put(object.name(), object);
-        return known == null || known.revision() != object.revision();
-    }
-
-    private boolean remove(String name, long learnedRevision, long nowNanos) {
-        // Also of an object that is not known here: another instance may know it.
-        rememberRemoval(name, learnedRevision);
-        if (!objects.containsKey(name) || removalDeadlines.containsKey(name)) {
-            return false;
-        }
-        long keepUntilNanos = outage.keepUntilNanos(nowNanos);
-        if (kind == DiscoveryKind.SERVERS && keepUntilNanos > nowNanos) {
-            removalDeadlines.put(name, keepUntilNanos);
-            return false;
-        }
-        return objects.remove(name) != null;
-    }
-
-    private void rememberRemoval(String name, long learnedRevision) {
-        removedRevisions.remove(name);
-        removedRevisions.put(name, learnedRevision);
-        if (removedRevisions.size() > MAX_REMOVED) {
-            String oldest = removedRevisions.keySet().iterator().next();
-            historyStartRevision = Math.max(historyStartRevision, removedRevisions.remove(oldest));
-        }
-    }
-
     private long backoffNanos() {
         long limitMillis =
                 Math.min(
