Wait for the first candidate that is avoided, not for a former one

Cause: read in the diff: with all candidates avoided the next poll was due when the first avoided instance became free, also one that is no candidate any more; that time could be past, and the timer then fired without a pause for up to 5 s.

Test: PeerFollowerTest, red in one of two cases before.

--- a/core/src/main/java/org/snipeslip/core/discovery/PeerFollower.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/PeerFollower.java
@@ -74,7 +74,12 @@
         }
         String address = askWhole != null ? askWhole : nextAddress(nowNanos);
         if (address == null) {
-            dueNanos = avoidedUntilNanos.values().stream().min(Long::compare).orElse(NEVER);
+            // All candidates are avoided; an earlier one that is none any more does not count.
+            dueNanos =
+                    candidates.stream()
+                            .map(avoidedUntilNanos::get)
+                            .min(Long::compare)
+                            .orElse(NEVER);
             return null;
         }
         // Another one is only tried, so that the followed one is soon heard again.
