Log and count changes of the rate limit that a backend server names

Change: the field is parsed where the load is parsed, from answers to calls and to probes. A changed value is logged at most once a second for each server, with the source, and counted. Nothing is decided by it yet. A malformed value says nothing: it neither sets nor lifts a limit.

--- a/core/src/main/java/org/snipeslip/core/call/LoadReport.java
+++ b/core/src/main/java/org/snipeslip/core/call/LoadReport.java
@@ -1,5 +1,7 @@
 package org.snipeslip.core.call;
 
+import org.snipeslip.core.ratelimit.RateLimit;
+
 /**
  * Load that a backend server reported about itself.
  *
@@ -9,6 +11,8 @@
  * @param cold whether it reports that it is cold, for example after a start
  * @param slowdown current service time relative to the usual one, which is 1
  * @param unhealthy whether it reports that it cannot serve calls; such a report may be wrong
+ * @param rateLimit the calls that it accepts from all instances together; may be known although the
+ *     load is not
  */
 public record LoadReport(
         int inFlight,
@@ -16,7 +20,8 @@
         boolean draining,
         boolean cold,
         double slowdown,
-        boolean unhealthy) {
+        boolean unhealthy,
+        RateLimit rateLimit) {
     /** The response carried no load report. */
     public static final LoadReport UNKNOWN = new LoadReport(-1, -1, false, false);
 
@@ -29,7 +34,7 @@
      * @param cold whether it reports that it is cold, for example after a start
      */
     public LoadReport(int inFlight, int slots, boolean draining, boolean cold) {
-        this(inFlight, slots, draining, cold, 1, false);
+        this(inFlight, slots, draining, cold, 1, false, RateLimit.UNKNOWN);
     }
 
     /**
@@ -38,7 +43,17 @@
      * @return the changed copy
      */
     public LoadReport asUnhealthy() {
-        return new LoadReport(inFlight, slots, draining, cold, slowdown, true);
+        return new LoadReport(inFlight, slots, draining, cold, slowdown, true, rateLimit);
+    }
+
+    /**
+     * Returns a copy with a rate limit.
+     *
+     * @param newRateLimit what the response says about the limit
+     * @return the changed copy
+     */
+    public LoadReport withRateLimit(RateLimit newRateLimit) {
+        return new LoadReport(inFlight, slots, draining, cold, slowdown, unhealthy, newRateLimit);
     }
 
     /**
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -1,6 +1,10 @@
 package org.snipeslip.core.call;
 
+import org.snipeslip.core.id.ServiceId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Outbox;
 import org.snipeslip.core.load.ServiceLoad;
+import org.snipeslip.core.ratelimit.RateLimit;
 
 /**
  * Updates load data, concurrency limits and warm-up of the backend servers from the results of
@@ -12,9 +16,11 @@
     /** A response this many times slower than the service mean is evidence of a cold server. */
     private static final double SLOW_FACTOR = 4;
 
+    private final ServiceId service;
     private final ServerPool pool;
 
-    ServerFeedback(ServerPool pool) {
+    ServerFeedback(ServiceId service, ServerPool pool) {
+        this.service = service;
         this.pool = pool;
     }
 
@@ -25,24 +31,24 @@
         }
     }
 
-    void answered(OpenTry openTry, int status, LoadReport report, long nowNanos) {
+    void answered(OpenTry openTry, int status, LoadReport report, long nowNanos, Outbox outbox) {
         ServerState state = openTry.server;
-        ServiceLoad service = pool.serviceLoad();
-        applyReport(state, report, nowNanos);
+        ServiceLoad serviceLoad = pool.serviceLoad();
+        applyReport(state, report, false, nowNanos, outbox);
         long latencyNanos = nowNanos - openTry.sentAtNanos;
         boolean error = status >= MIN_ERROR_STATUS;
         state.load.observeError(error, nowNanos);
         if (error && state.load.isErrorOutlier()) {
             state.load.failed(latencyNanos, nowNanos);
-            state.limit.refused(service.baselineNanos(), nowNanos);
+            state.limit.refused(serviceLoad.baselineNanos(), nowNanos);
             recordBadResponse(state, nowNanos);
             return;
         }
         double serverNanos = state.load.serverNanos(latencyNanos);
-        boolean slow = serverNanos > SLOW_FACTOR * service.meanNanos();
+        boolean slow = serverNanos > SLOW_FACTOR * serviceLoad.meanNanos();
         state.load.responded(latencyNanos, nowNanos);
         int inFlight = state.load.inFlight();
-        state.limit.responded(serverNanos, service.baselineNanos(), inFlight, nowNanos);
+        state.limit.responded(serverNanos, serviceLoad.baselineNanos(), inFlight, nowNanos);
         if (slow) {
             recordBadResponse(state, nowNanos);
         } else if (!error) {
@@ -50,9 +56,10 @@
         }
     }
 
-    void failed(OpenTry openTry, TryFailure failure, LoadReport report, long nowNanos) {
+    void failed(
+            OpenTry openTry, TryFailure failure, LoadReport report, long nowNanos, Outbox outbox) {
         ServerState state = openTry.server;
-        applyReport(state, report, nowNanos);
+        applyReport(state, report, false, nowNanos, outbox);
         long latencyNanos = nowNanos - openTry.sentAtNanos;
         switch (failure) {
             case REQUEST_BODY_BROKEN -> {
@@ -84,7 +91,14 @@
         }
     }
 
-    void applyReport(ServerState state, LoadReport report, long nowNanos) {
+    void applyReport(
+            ServerState state, LoadReport report, boolean byProbe, long nowNanos, Outbox outbox) {
+        RateLimit before = state.rateLimitReports.replaceLogged(report.rateLimit(), nowNanos);
+        if (before != null) {
+            outbox.add(
+                    new Action.RateLimitChanged(
+                            service, state.server.id(), before, report.rateLimit(), byProbe));
+        }
         if (!report.isKnown()) {
             return;
         }
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -9,6 +9,7 @@
 import org.snipeslip.core.load.Distance;
 import org.snipeslip.core.load.ServerLoad;
 import org.snipeslip.core.load.ServiceLoad;
+import org.snipeslip.core.ratelimit.RateLimitReports;
 import org.snipeslip.core.warmup.ColdRate;
 import org.snipeslip.core.warmup.WarmUp;
 
@@ -28,6 +29,7 @@
     final ServerLoad load;
     final ConcurrencyLimit limit = new ConcurrencyLimit();
     final WarmUp warmUp = new WarmUp();
+    final RateLimitReports rateLimitReports = new RateLimitReports();
 
     BackendServer server;
     RegionId region;
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -47,7 +47,7 @@
         this.service = service;
         this.settings = settings;
         this.pool = new ServerPool(settings, location, random);
-        this.feedback = new ServerFeedback(pool);
+        this.feedback = new ServerFeedback(service, pool);
         this.queue = new ShardQueue(settings, pool.serviceLoad(), random);
         this.retries = new ShardRetries(settings);
         this.placements = new PendingPlacements(service, pool);
@@ -135,7 +135,7 @@
             return;
         }
         hedgeQueue.observe(nowNanos - openTry.sentAtNanos);
-        feedback.answered(openTry, status, load, nowNanos);
+        feedback.answered(openTry, status, load, nowNanos, outbox);
         call.winner = openTry;
         outbox.add(new Action.RelayAnswer(tryId));
         cancelOpenTries(call, nowNanos, outbox);
@@ -163,7 +163,7 @@
             return;
         }
         openTry.release();
-        feedback.failed(openTry, failure, load, nowNanos);
+        feedback.failed(openTry, failure, load, nowNanos, outbox);
         call.mayHaveStarted |= failure.mayHaveStarted();
         call.bytesSent |= failure.mayHaveSent();
         if (!failure.mayHaveSent()) {
@@ -236,7 +236,7 @@
         probes.answered(id, sizeBytes);
         ServerState state = pool.find(id);
         if (state != null) {
-            feedback.applyReport(state, load, nowNanos);
+            feedback.applyReport(state, load, true, nowNanos, outbox);
         }
         boolean idle = state != null && state.load.isIdle(nowNanos);
         decidePlacement(placements.probeEnded(id, idle), nowNanos, outbox);
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -5,12 +5,14 @@
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.discovery.DiscoveryRequest;
+import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.InstanceId;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.peer.PeerMessage;
+import org.snipeslip.core.ratelimit.RateLimit;
 import org.snipeslip.core.store.StoreCallId;
 import org.snipeslip.core.store.StoreRequest;
 
@@ -134,4 +136,21 @@
      * front had time to stop sending callers to this instance.
      */
     record StopAccepting() implements Action {}
+
+    /**
+     * Reports that a backend server names another rate limit than before, for the log.
+     *
+     * @param service the service
+     * @param backendServer the backend server
+     * @param before what it named before
+     * @param now what it names now
+     * @param byProbe whether the response was one to a probe
+     */
+    record RateLimitChanged(
+            ServiceId service,
+            BackendServerId backendServer,
+            RateLimit before,
+            RateLimit now,
+            boolean byProbe)
+            implements Action {}
 }
--- /dev/null
+++ b/core/src/main/java/org/snipeslip/core/ratelimit/package-info.java
@@ -0,0 +1,2 @@
+/** Rates of calls that backend servers accept from all instances together. */
+package org.snipeslip.core.ratelimit;
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -245,7 +245,7 @@
         }
         HeaderMap headers = response.getResponseHeaders();
         HttpDialect dialect = relay.dialect();
-        LoadReport load = dialect.loadReader().apply(headers.getFirst(dialect.load()));
+        LoadReport load = dialect.readLoad(headers);
         int status = response.getResponseCode();
         if (!matchesRequestId(headers)) {
             // A late response to an earlier request: the response to this one cannot be identified.
--- a/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
@@ -1,5 +1,6 @@
 package org.snipeslip.server.http;
 
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.util.function.Function;
 import org.snipeslip.core.call.LoadReport;
@@ -11,6 +12,8 @@
  * @param requestId id of a call in requests and responses
  * @param deadlineMillis time left until the caller's deadline, in milliseconds
  * @param load load of a backend server in its responses
+ * @param rateLimit calls a second that a backend server accepts from all instances together, a
+ *     decimal number in its responses; null if servers name no limit
  * @param notRun present in a response if the backend server did not start to process the call
  * @param expectedServer name of the backend server that a call is addressed to; a server with
  *     another name refuses it with 421; null if servers do not check it
@@ -30,6 +33,7 @@
         HttpString requestId,
         HttpString deadlineMillis,
         HttpString load,
+        HttpString rateLimit,
         HttpString notRun,
         HttpString expectedServer,
         HttpString serverName,
@@ -47,6 +51,7 @@
                     SnipeslipHeaders.REQUEST_ID,
                     SnipeslipHeaders.DEADLINE_MILLIS,
                     SnipeslipHeaders.LOAD,
+                    null,
                     SnipeslipHeaders.NOT_RUN,
                     null,
                     null,
@@ -57,6 +62,13 @@
                     IDLE_MILLIS,
                     false);
 
+    /** Reads what a response says about the load and the rate limit of its backend server. */
+    LoadReport readLoad(HeaderMap headers) {
+        return loadReader
+                .apply(headers.getFirst(load))
+                .withRateLimit(RateLimitHeader.read(rateLimit, headers));
+    }
+
     /**
      * Returns a copy of this dialect that does not log the ends of calls.
      *
@@ -67,6 +79,7 @@
                 requestId,
                 deadlineMillis,
                 load,
+                rateLimit,
                 notRun,
                 expectedServer,
                 serverName,
--- a/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
@@ -118,7 +118,7 @@
         public void responseReceived(ClientResponse response, String body) {
             HeaderMap headers = response.getResponseHeaders();
             String loadValue = headers.getFirst(dialect.load());
-            LoadReport load = dialect.loadReader().apply(loadValue);
+            LoadReport load = dialect.readLoad(headers);
             boolean ok = response.getResponseCode() == OK;
             if (!load.isKnown() || !isFromTarget(headers) || !ok && dialect.serverName() == null) {
                 fail();
--- a/server/src/main/java/org/snipeslip/server/operator/InstanceMetrics.java
+++ b/server/src/main/java/org/snipeslip/server/operator/InstanceMetrics.java
@@ -20,6 +20,7 @@
     private final Map<CallResult, Counter> callsByResult = new EnumMap<>(CallResult.class);
     private final Counter openCalls = registry.counter(PREFIX + "open_calls");
     private final Counter tries = registry.counter(PREFIX + "tries_total");
+    private final Counter rateLimitChanges = registry.counter(PREFIX + "rate_limit_changes_total");
     private final Counter storeCalls = registry.counter(PREFIX + "object_api_calls_total");
     private final Counter storeFailures = registry.counter(PREFIX + "object_api_failures_total");
     private final Histogram callDuration = registerHistogram("call_duration_seconds");
@@ -58,6 +59,11 @@
         registry.counter(PREFIX + "refusals_total{reason=\"" + reason + "\"}").inc();
     }
 
+    /** Counts a logged change of the rate limit that a backend server names. */
+    public void rateLimitChanged() {
+        rateLimitChanges.inc();
+    }
+
     /**
      * Returns the number of calls that have arrived and not ended.
      *
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -20,6 +20,7 @@
 import org.snipeslip.core.instance.StateMachine;
 import org.snipeslip.core.peer.PeerAddress;
 import org.snipeslip.core.peer.PeerMessage;
+import org.snipeslip.core.ratelimit.RateLimit;
 import org.snipeslip.core.store.StoreAnswer;
 import org.snipeslip.server.http.CallEventHandler;
 import org.snipeslip.server.http.CallRelay;
@@ -117,6 +118,7 @@
                 case Action.StopAccepting a -> onStopAccepting.run();
                 case Action.SendPeerMessage a -> peerSender.accept(a.address(), a.message());
                 case Action.SendProbe a -> probeSender.send(a);
+                case Action.RateLimitChanged a -> logRateLimit(a);
             }
         }
     }
@@ -144,6 +146,25 @@
                 .log("configuration in force");
     }
 
+    private void logRateLimit(Action.RateLimitChanged change) {
+        metrics.rateLimitChanged();
+        LOG.atInfo()
+                .addKeyValue("service", change.service())
+                .addKeyValue("backendServer", change.backendServer())
+                .addKeyValue("before", textOf(change.before()))
+                .addKeyValue("now", textOf(change.now()))
+                .addKeyValue("source", change.byProbe() ? "probe" : "call")
+                .log("rate limit of a backend server changed");
+    }
+
+    private static String textOf(RateLimit limit) {
+        return switch (limit) {
+            case RateLimit.Unknown unknown -> "unknown";
+            case RateLimit.Unlimited unlimited -> "none";
+            case RateLimit.CallsPerSecond(double callsPerSecond) -> callsPerSecond + " calls/s";
+        };
+    }
+
     private void storeAnswered(Action.CallStore action, StoreAnswer answer) {
         metrics.storeCallEnded(answer instanceof StoreAnswer.Failed);
         handle(new Event.StoreAnswered(action.call(), answer));
--- a/server/src/test/java/org/snipeslip/server/http/CallerRequestIdTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/CallerRequestIdTest.java
@@ -24,6 +24,7 @@
                     new HttpString("Call-Name"),
                     new HttpString("Time-Left"),
                     new HttpString("Load"),
+                    new HttpString("Limit"),
                     new HttpString("Refused"),
                     new HttpString("Meant-For"),
                     new HttpString("Server-Name"),
--- a/server/src/test/java/org/snipeslip/server/scenario/SimulatedInstance.java
+++ b/server/src/test/java/org/snipeslip/server/scenario/SimulatedInstance.java
@@ -126,6 +126,9 @@
                 crash();
             }
             case Action.SendProbe a -> simulation.probe(this, a);
+            case Action.RateLimitChanged a -> {
+                // Only logged.
+            }
             case Action.RecordDecision a -> {
                 // Decisions are covered by other tests.
             }
