Divide the rate limit that a backend server names among the instances

Cause: no decision used the limit. Class: a bound on a sum over instances that nobody divides among them.

Ruled out: retries, hedges and planned stops (13 of 1,018 calls were hedges, none a retry); late knowledge (all near instances knew within 0.8 s); limits kept by each instance alone (one instance alone exceeded the sum).

Change: while a server names a limit, each instance keeps a fixed share of the calls that a window of 4.5 s allows (CallAllowance), in every sliding window. First tries, retries and hedges count. InstanceShare.of divides the calls by rendezvous hashing, so that outdated lists of instances add at most a call or so for each missing name; instances of the server's region get four times as many. A limit is raised or lifted only by the response to a request sent after the last response that named it, and lowered at once. An instance without a share asks by rare probes whether the limit holds. Calls for which only such servers are left are refused at once as not run, with a random time to return.

An unused share is lost; instances that lend shares to one another would use the limit better.

--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
@@ -61,7 +61,9 @@
         /** Its concurrency or warm-up limit is reached, or it reports a queue. */
         AT_LIMIT,
         /** An earlier try of the call was sent to this server. */
-        ALREADY_TRIED
+        ALREADY_TRIED,
+        /** The server names a rate limit, and this instance has used up its share of it. */
+        RATE_LIMITED
     }
 
     /**
--- a/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -12,6 +12,8 @@
     NO_BACKEND_SERVER(503),
     /** The queue is full or the wait would exceed the deadline. */
     OVERLOADED(503),
+    /** Every server with room names a rate limit, of which this instance has used up its share. */
+    RATE_LIMITED(503),
     /** The organisation has used up its share of the queue while others wait. */
     ORGANISATION_OVER_SHARE(429),
     /** The call passed more load balancers than allowed, probably because of a loop. */
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -13,13 +13,18 @@
 final class ServerFeedback {
     private static final int MIN_ERROR_STATUS = 500;
 
+    /** A probe that has no answer within this time has failed. */
+    private static final long MAX_PROBE_NANOS = 500_000_000;
+
     /** A response this many times slower than the service mean is evidence of a cold server. */
     private static final double SLOW_FACTOR = 4;
 
     private final ServiceId service;
     private final ServerPool pool;
+    private final ShardProbes probes;
 
-    ServerFeedback(ServiceId service, ServerPool pool) {
+    ServerFeedback(ServiceId service, ServerPool pool, ShardProbes probes) {
+        this.probes = probes;
         this.service = service;
         this.pool = pool;
     }
@@ -34,7 +39,8 @@
     void answered(OpenTry openTry, int status, LoadReport report, long nowNanos, Outbox outbox) {
         ServerState state = openTry.server;
         ServiceLoad serviceLoad = pool.serviceLoad();
-        applyReport(state, report, false, nowNanos, outbox);
+        applyRateLimit(state, report, openTry.sentAtNanos, false, nowNanos, outbox);
+        applyReport(state, report, nowNanos);
         long latencyNanos = nowNanos - openTry.sentAtNanos;
         boolean error = status >= MIN_ERROR_STATUS;
         state.load.observeError(error, nowNanos);
@@ -59,7 +65,8 @@
     void failed(
             OpenTry openTry, TryFailure failure, LoadReport report, long nowNanos, Outbox outbox) {
         ServerState state = openTry.server;
-        applyReport(state, report, false, nowNanos, outbox);
+        applyRateLimit(state, report, openTry.sentAtNanos, false, nowNanos, outbox);
+        applyReport(state, report, nowNanos);
         long latencyNanos = nowNanos - openTry.sentAtNanos;
         switch (failure) {
             case REQUEST_BODY_BROKEN -> {
@@ -91,14 +98,37 @@
         }
     }
 
-    void applyReport(
-            ServerState state, LoadReport report, boolean byProbe, long nowNanos, Outbox outbox) {
+    void probeAnswered(ServerState state, LoadReport report, long nowNanos, Outbox outbox) {
+        long earliestSentNanos = nowNanos - MAX_PROBE_NANOS;
+        applyRateLimit(state, report, earliestSentNanos, true, nowNanos, outbox);
+        applyReport(state, report, nowNanos);
+    }
+
+    private void applyRateLimit(
+            ServerState state,
+            LoadReport report,
+            long sentNanos,
+            boolean byProbe,
+            long nowNanos,
+            Outbox outbox) {
+        state.allowance.observe(report.rateLimit(), sentNanos, nowNanos);
+        if (state.allowance.isLimited()) {
+            probes.scheduleRateLimitProbes(nowNanos);
+        }
         RateLimit before = state.rateLimitReports.replaceLogged(report.rateLimit(), nowNanos);
         if (before != null) {
             outbox.add(
                     new Action.RateLimitChanged(
-                            service, state.server.id(), before, report.rateLimit(), byProbe));
+                            service,
+                            state.server.id(),
+                            before,
+                            report.rateLimit(),
+                            state.allowance.share(),
+                            byProbe));
         }
+    }
+
+    private void applyReport(ServerState state, LoadReport report, long nowNanos) {
         if (!report.isKnown()) {
             return;
         }
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -58,9 +58,10 @@
     private final boolean probesEachCall;
     private final ServiceLoad serviceLoad = new ServiceLoad();
     private final WaitLimit waitLimit = new WaitLimit();
+    private final RateLimitWait rateLimitWait;
     private final Map<BackendServerId, ServerState> byId = new HashMap<>();
 
-    /** Removed servers with calls in flight; the state is reused if the server is added again. */
+    /** Removed servers whose state is reused if they are added again soon. */
     private final Map<BackendServerId, ServerState> detached = new HashMap<>();
 
     /** Earlier incarnations of restarted servers, with calls in flight. */
@@ -76,12 +77,14 @@
     private final int[] tierStart = new int[Distance.values().length + 1];
     private int excludedCount;
     private boolean busy;
+
     private int chosen = -1;
 
     ServerPool(CallSettings settings, InstanceLocation location, RandomGenerator random) {
         this.settings = settings;
         this.location = location;
         this.random = random;
+        this.rateLimitWait = new RateLimitWait(random);
         this.policy = SelectionPolicy.of(settings.policy());
         this.adaptive = settings.policy().isAdaptive();
         this.probesEachCall = settings.policy() == PolicyName.PROBED;
@@ -119,7 +122,7 @@
                 known = null;
                 wasInService = false;
             }
-            ServerState state = known == null ? new ServerState(serviceLoad) : known;
+            ServerState state = known == null ? new ServerState(serviceLoad, random) : known;
             state.configure(server, domain, location.distanceTo(domain), instanceShare);
             if (known == null && firstConfig) {
                 state.warmUp.startProbablyWarm();
@@ -130,7 +133,7 @@
             byId.put(server.id(), state);
         }
         detached.putAll(previous);
-        detached.values().removeIf(state -> state.load.inFlight() == 0);
+        detached.values().removeIf(state -> state.isForgettable(nowNanos));
         byDistance = byId.values().toArray(ServerState[]::new);
         Comparator<ServerState> nearestFirst = Comparator.comparing(state -> state.load.distance());
         Arrays.sort(byDistance, nearestFirst.thenComparing(state -> state.server.id()));
@@ -162,6 +165,7 @@
         eligible.clear();
         excludedCount = 0;
         busy = false;
+        rateLimitWait.reset();
         chosen = -1;
         int bound = policy.candidateLimit();
         for (int tier = 0; tier < RESERVED_CANDIDATES.length; tier++) {
@@ -206,6 +210,15 @@
         return busy;
     }
 
+    /** Returns when servers allow calls that the last choice excluded only by their rate limits. */
+    RateLimitWait rateLimitWait() {
+        return rateLimitWait;
+    }
+
+    int instances() {
+        return instanceShare.instances();
+    }
+
     /** Returns a copy of the candidates of the last choice, the chosen one first. */
     CandidateSnapshot snapshot(long nowNanos) {
         int size = Math.min(CandidateSnapshot.MAX_SIZE, eligible.size() + excludedCount);
@@ -342,6 +355,9 @@
             return;
         }
         busy |= exclusion == Exclusion.AT_LIMIT;
+        if (exclusion == Exclusion.RATE_LIMITED) {
+            rateLimitWait.add(state.allowance.nextNanos(nowNanos));
+        }
         if (excludedCount < MAX_EXCLUDED) {
             excluded[excludedCount] = state;
             exclusions[excludedCount++] = exclusion;
@@ -361,6 +377,9 @@
         if (call.wasTriedAt(state)) {
             return Exclusion.ALREADY_TRIED;
         }
+        if (!state.allowance.allows(nowNanos)) {
+            return Exclusion.RATE_LIMITED;
+        }
         boolean hasRoom =
                 probesEachCall
                         ? state.hasRoomWhenProbed(nowNanos)
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -1,5 +1,6 @@
 package org.snipeslip.core.call;
 
+import java.util.random.RandomGenerator;
 import org.snipeslip.core.admission.ConcurrencyLimit;
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.CallClass;
@@ -9,6 +10,7 @@
 import org.snipeslip.core.load.Distance;
 import org.snipeslip.core.load.ServerLoad;
 import org.snipeslip.core.load.ServiceLoad;
+import org.snipeslip.core.ratelimit.CallAllowance;
 import org.snipeslip.core.ratelimit.RateLimitReports;
 import org.snipeslip.core.warmup.ColdRate;
 import org.snipeslip.core.warmup.WarmUp;
@@ -26,6 +28,9 @@
 
     private static final int BATCH_FULL_REPORT_LATENCIES = 10;
 
+    /** Longer than a server whose entry has lapsed is missing, for example after an outage. */
+    private static final long LIMIT_KEPT_NANOS = 30_000_000_000L;
+
     final ServerLoad load;
     final ConcurrencyLimit limit = new ConcurrencyLimit();
     final WarmUp warmUp = new WarmUp();
@@ -37,14 +42,18 @@
     boolean drainReported;
     boolean coldReported;
 
+    /** The calls that the server accepts from this instance while it names a rate limit. */
+    final CallAllowance allowance;
+
     private final ServiceLoad service;
     private final ColdRate coldRate = new ColdRate();
     private int connectionShare;
     private int coldCallShare;
     private long coldUntilNanos = WarmUpPlan.WARM;
 
-    ServerState(ServiceLoad service) {
+    ServerState(ServiceLoad service, RandomGenerator random) {
         this.service = service;
+        this.allowance = new CallAllowance(random);
         this.load = new ServerLoad(service);
     }
 
@@ -69,6 +78,7 @@
                         instances,
                         share.ownIndex(),
                         server.id().value().hashCode());
+        allowance.setShare(calls -> share.of(calls, server.id().value(), region.value()));
     }
 
     boolean isDraining() {
@@ -86,14 +96,24 @@
         }
     }
 
-    /** Counts a call that is sent, also against the rate limit while the server is cold. */
+    /** Counts a call that is sent, also against the rate limits that apply now. */
     void sent(long nowNanos) {
         load.sent(nowNanos);
+        allowance.sent(nowNanos);
         if (isInColdPeriod(nowNanos)) {
             coldRate.sent(nowNanos);
         }
     }
 
+    /**
+     * Returns whether the state of a removed server need not be kept for its return: no call is in
+     * flight and no rate limit was named recently.
+     */
+    boolean isForgettable(long nowNanos) {
+        return load.inFlight() == 0
+                && (!allowance.isLimited() || allowance.ageNanos(nowNanos) > LIMIT_KEPT_NANOS);
+    }
+
     private boolean isInColdPeriod(long nowNanos) {
         return server.warmUp().callsPerSecond() > 0 && nowNanos < coldUntilNanos;
     }
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -47,11 +47,11 @@
         this.service = service;
         this.settings = settings;
         this.pool = new ServerPool(settings, location, random);
-        this.feedback = new ServerFeedback(service, pool);
         this.queue = new ShardQueue(settings, pool.serviceLoad(), random);
         this.retries = new ShardRetries(settings);
         this.placements = new PendingPlacements(service, pool);
         this.probes = new ShardProbes(service, pool, settings.probeSettings(), budget);
+        this.feedback = new ServerFeedback(service, pool, probes);
         this.timer = new ShardTimer(service);
         this.decisions = new DecisionRecorder(service);
         this.calls = new ShardCalls(openCalls, decisions);
@@ -236,7 +236,7 @@
         probes.answered(id, sizeBytes);
         ServerState state = pool.find(id);
         if (state != null) {
-            feedback.applyReport(state, load, true, nowNanos, outbox);
+            feedback.probeAnswered(state, load, nowNanos, outbox);
         }
         boolean idle = state != null && state.load.isIdle(nowNanos);
         decidePlacement(placements.probeEnded(id, idle), nowNanos, outbox);
@@ -377,7 +377,7 @@
                 blockedFlows += fitsNowhere ? MAX_BLOCKED_FLOWS : 1;
             } else {
                 queue.remove(call);
-                calls.refuse(call, CallCompletion.reasonWithoutServer(call), 0, outbox);
+                admission.refuseWithoutServer(call, nowNanos, outbox);
             }
         }
         long dueNanos = Math.min(queue.nextSweepNanos(), probes.nextDueNanos());
--- a/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
@@ -20,7 +20,7 @@
     /** Handles a call for which the last choice found no server. */
     void enqueueOrRefuse(CallState call, long nowNanos, Outbox outbox) {
         if (queue.isEmpty() && !pool.isBusy()) {
-            calls.refuse(call, CallCompletion.reasonWithoutServer(call), 0, outbox);
+            refuseWithoutServer(call, nowNanos, outbox);
             return;
         }
         ShardQueue.Dropped dropped = queue.add(call, nowNanos);
@@ -32,6 +32,19 @@
         }
     }
 
+    /** Refuses a call for which the last choice found no server, and waiting would not help. */
+    void refuseWithoutServer(CallState call, long nowNanos, Outbox outbox) {
+        if (!pool.rateLimitWait().isNeeded()) {
+            calls.refuse(call, CallCompletion.reasonWithoutServer(call), 0, outbox);
+            return;
+        }
+        RefusalReason reason =
+                call.lastFailure == null
+                        ? RefusalReason.RATE_LIMITED
+                        : CallCompletion.reasonOf(call.lastFailure);
+        calls.refuse(call, reason, pool.rateLimitWait().retryMillis(nowNanos), outbox);
+    }
+
     /** Refuses a call that the last chosen server would answer too late. */
     void refuseOverloaded(CallState call, Outbox outbox) {
         calls.refuse(call, RefusalReason.OVERLOADED, pool.retryAfterMillis(), outbox);
--- a/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
@@ -14,12 +14,16 @@
 import org.snipeslip.core.probe.ProbeSettings;
 
 /**
- * Sends the periodic probes of one service within the probe budget. Guarded by the shard's lock.
+ * Sends the probes of one service that no call waits for: periodic ones within the probe budget,
+ * and rare ones of servers that name a rate limit. Guarded by the shard's lock.
  */
 final class ShardProbes {
     private static final long SCHEDULE_PERIOD_NANOS = 1_000_000_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** A rate limit that was confirmed within this time is not asked for. */
+    private static final long RATE_LIMIT_AGE_NANOS = 2_000_000_000;
+
     private final ServiceId service;
     private final ServerPool pool;
     private final ProbeSettings settings;
@@ -27,7 +31,8 @@
     private final ProbeSchedule<BackendServerId> schedule;
     private List<Route> routes = List.of();
     private String path = Service.DEFAULT_PROBE_PATH;
-    private long nextDueNanos = ShardTimer.NEVER;
+    private long scheduleDueNanos = ShardTimer.NEVER;
+    private long rateLimitDueNanos = ShardTimer.NEVER;
 
     ShardProbes(ServiceId service, ServerPool pool, ProbeSettings settings, ProbeBudget budget) {
         this.service = service;
@@ -42,7 +47,7 @@
         path = configured == null ? path : configured.probePath();
         routes = config.routes().values().stream().filter(route -> route.sendsTo(service)).toList();
         boolean needed = settings.isEnabled() && pool.all().length > 0;
-        nextDueNanos = needed ? nowNanos + SCHEDULE_PERIOD_NANOS : ShardTimer.NEVER;
+        scheduleDueNanos = needed ? nowNanos + SCHEDULE_PERIOD_NANOS : ShardTimer.NEVER;
     }
 
     /** Returns the HTTP path at which servers report their load. */
@@ -51,14 +56,44 @@
     }
 
     long nextDueNanos() {
-        return nextDueNanos;
+        return Math.min(scheduleDueNanos, rateLimitDueNanos);
     }
 
     void timerFired(long nowNanos, Outbox outbox) {
-        if (nowNanos < nextDueNanos) {
-            return;
+        if (nowNanos >= rateLimitDueNanos) {
+            rateLimitDueNanos = ShardTimer.NEVER;
+            probeRateLimitedServers(nowNanos, outbox);
+        }
+        if (nowNanos >= scheduleDueNanos) {
+            probeScheduledServers(nowNanos, outbox);
+        }
+    }
+
+    /** Schedules probes of the servers that name a rate limit, unless they are scheduled. */
+    void scheduleRateLimitProbes(long nowNanos) {
+        if (rateLimitDueNanos == ShardTimer.NEVER) {
+            rateLimitDueNanos = nowNanos + pool.rateLimitWait().probeDelayNanos(pool.instances());
+        }
+    }
+
+    /**
+     * Asks servers whether their rate limit still holds. An instance without a share sends them no
+     * call whose response could tell.
+     */
+    private void probeRateLimitedServers(long nowNanos, Outbox outbox) {
+        for (ServerState state : pool.all()) {
+            if (!state.allowance.isLimited()) {
+                continue;
+            }
+            scheduleRateLimitProbes(nowNanos);
+            if (state.allowance.ageNanos(nowNanos) >= RATE_LIMIT_AGE_NANOS && mayProbe(state)) {
+                outbox.add(new Action.SendProbe(service, state.server, path));
+            }
         }
-        nextDueNanos = nowNanos + SCHEDULE_PERIOD_NANOS;
+    }
+
+    private void probeScheduledServers(long nowNanos, Outbox outbox) {
+        scheduleDueNanos = nowNanos + SCHEDULE_PERIOD_NANOS;
         schedule.clearCandidates();
         for (ServerState state : pool.all()) {
             boolean unreachedByCalls = state.drainReported || state.warmUp.isCold();
--- a/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
@@ -71,7 +71,7 @@
             return markPending(
                     new DiscoveryRequest.Register(
                             settings.instance().value(),
-                            settings.peers() == null ? "" : settings.peers().region().value(),
+                            ownRegion(),
                             settings.peers() == null ? "" : settings.peers().address()));
         }
         String after = listed.isEmpty() ? "" : listed.getLast().name();
@@ -146,9 +146,25 @@
         int count = instances.size() + (instances.containsKey(self) ? 0 : 1);
         // Instances that start together are missing from the first lists.
         boolean settled = earlyReads >= EARLY_READS_MILLIS.size();
+        List<InstanceShare.Member> others =
+                instances.values().stream()
+                        .filter(instance -> !instance.instance().value().equals(self))
+                        .map(InstanceRegistry::toMember)
+                        .toList();
         share =
                 new InstanceShare(
-                        settled ? count : Math.max(count, settings.assumedInstances()), before);
+                        settled ? count : Math.max(count, settings.assumedInstances()),
+                        before,
+                        new InstanceShare.Member(self, ownRegion()),
+                        others);
+    }
+
+    private String ownRegion() {
+        return settings.peers() == null ? "" : settings.peers().region().value();
+    }
+
+    private static InstanceShare.Member toMember(DiscoveryRecord.Instance instance) {
+        return new InstanceShare.Member(instance.instance().value(), instance.region());
     }
 
     private long nextReadNanos(long nowNanos) {
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -144,6 +144,7 @@
      * @param backendServer the backend server
      * @param before what it named before
      * @param now what it names now
+     * @param share calls that this instance may send in a window while a limit is named
      * @param byProbe whether the response was one to a probe
      */
     record RateLimitChanged(
@@ -151,6 +152,7 @@
             BackendServerId backendServer,
             RateLimit before,
             RateLimit now,
+            int share,
             boolean byProbe)
             implements Action {}
 }
--- a/core/src/test/java/org/snipeslip/core/call/FakeCall.java
+++ b/core/src/test/java/org/snipeslip/core/call/FakeCall.java
@@ -17,6 +17,7 @@
     final List<Object> claimEnds = new ArrayList<>();
     Refusal refusal;
     long relayedNanos;
+    long refusedNanos;
     boolean claimGranted;
     boolean callerDisconnected;
     int finalActions;
--- a/core/src/test/java/org/snipeslip/core/call/FakeDeployment.java
+++ b/core/src/test/java/org/snipeslip/core/call/FakeDeployment.java
@@ -103,10 +103,14 @@
                 case Action.RefuseCaller a -> {
                     calls.get(a.request()).finalActions++;
                     calls.get(a.request()).refusal = a.refusal();
+                    calls.get(a.request()).refusedNanos = nowNanos;
                 }
                 case Action.ReplayAnswer a -> calls.get(a.request()).finalActions++;
                 case Action.SetTimer a -> setTimer(engine, a.timer(), a.delayNanos());
                 case Action.SendProbe a -> probe(engine, a);
+                case Action.RateLimitChanged a -> {
+                    // Only logged.
+                }
                 case Action.RecordDecision a -> {
                     calls.get(a.decision().request()).decisionRecords++;
                 }
@@ -182,6 +186,7 @@
     }
 
     private void receive(FakeServer server, FakeTry fakeTry) {
+        server.arrivedNanos.add(nowNanos);
         if (server.down) {
             fail(fakeTry, TryFailure.NOT_CONNECTED);
         } else if (server.isFull()) {
--- a/core/src/test/java/org/snipeslip/core/call/FakeServer.java
+++ b/core/src/test/java/org/snipeslip/core/call/FakeServer.java
@@ -1,7 +1,10 @@
 package org.snipeslip.core.call;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import org.snipeslip.core.config.BackendServer;
+import org.snipeslip.core.ratelimit.RateLimit;
 
 /** A simulated backend server with slots, a bounded queue and faults that tests set. */
 final class FakeServer {
@@ -17,6 +20,8 @@
     boolean cold;
     boolean reportsCold;
     boolean draining;
+    RateLimit rateLimit = RateLimit.UNLIMITED;
+    final List<Long> arrivedNanos = new ArrayList<>();
     int running;
     int maxHeld;
     long served;
@@ -38,6 +43,7 @@
     }
 
     LoadReport report() {
-        return new LoadReport(running + queue.size(), config.slots(), draining, reportsCold);
+        return new LoadReport(running + queue.size(), config.slots(), draining, reportsCold)
+                .withRateLimit(rateLimit);
     }
 }
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -153,6 +153,7 @@
                 .addKeyValue("backendServer", change.backendServer())
                 .addKeyValue("before", textOf(change.before()))
                 .addKeyValue("now", textOf(change.now()))
+                .addKeyValue("share", change.share())
                 .addKeyValue("source", change.byProbe() ? "probe" : "call")
                 .log("rate limit of a backend server changed");
     }
