--- a/server/src/main/java/org/snipeslip/server/runtime/OutageLoggingStore.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/OutageLoggingStore.java
@@ -14,9 +14,13 @@
 final class OutageLoggingStore implements DiscoveryStore {
     private static final Logger LOG = LoggerFactory.getLogger(OutageLoggingStore.class);
 
+    private static final long LOG_INTERVAL_NANOS = 1_000_000_000;
+
     private final DiscoveryStore delegate;
     private long firstFailureNanos;
     private int consecutiveFailures;
+    private long discardedLoggedNanos = Long.MIN_VALUE;
+    private int discarded;
 
     OutageLoggingStore(DiscoveryStore delegate) {
         this.delegate = delegate;
@@ -30,11 +34,30 @@
                     // Another instance that does not answer says nothing of the store.
                     if (!(request instanceof DiscoveryRequest.PeerPoll)) {
                         logStateChange(request, response, System.nanoTime());
+                        logDiscardedHistory(request, response, System.nanoTime());
                     }
                     consumer.accept(response);
                 });
     }
 
+    /** Logs at most one line a second, with the number of such responses since the last line. */
+    private synchronized void logDiscardedHistory(
+            DiscoveryRequest request, DiscoveryResponse response, long nowNanos) {
+        if (!(response instanceof DiscoveryResponse.HistoryDiscarded)) {
+            return;
+        }
+        discarded++;
+        if (discardedLoggedNanos == Long.MIN_VALUE
+                || nowNanos - discardedLoggedNanos >= LOG_INTERVAL_NANOS) {
+            LOG.atWarn()
+                    .addKeyValue("request", request)
+                    .addKeyValue("responses", discarded)
+                    .log("store has discarded the history that a watch needs");
+            discardedLoggedNanos = nowNanos;
+            discarded = 0;
+        }
+    }
+
     private synchronized void logStateChange(
             DiscoveryRequest request, DiscoveryResponse response, long nowNanos) {
         if (response instanceof DiscoveryResponse.Failed(boolean refused, String reason)) {
