Order what the store holds by era and revision

What callers saw: after the store had come back from a copy, a new route got 404 (54 of 4,542 requests), 253 requests were handled by an old configuration and 6 left their home regions; instances called the store up to 183 times a second.

Cause: revisions were compared across the restoration, in which the store gives them out again. A watch continued from a revision that the store did not have, got 410, the list had a lower revision and was taken for outdated, and the watch began at the old revision again. Class: an order that is only valid within one history of its source.

Ruled out: the version guard (version 11 is higher), followed instances as the first cause.

Change: StoreRevision (era, number) orders all that is remembered, compared or told to other instances. A response of another era than its request, or the first of a new era at any kind, leads to new lists of all kinds. What was known stays where the copy is older: the version of the configuration, the content of a server with more writes, its removal (its entry is used again if it outlives the time in which entries of silent servers expire), and evacuations and servers that the copy lacks, for the grace period. Each instance registers itself again, and counts all that it knew for a minute, so that shares of limits do not grow. Instances tell one another eras; one that is behind is not followed. Warm-ups are not begun again for the same entry.

--- a/core/src/main/java/org/snipeslip/core/discovery/BackupWatch.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/BackupWatch.java
@@ -22,7 +22,7 @@
     private DiscoveryRequest pending;
 
     /** Latest revision reported to a backup watch; a waiting main watch is at an older one. */
-    private long revision = -1;
+    private StoreRevision revision = StoreRevision.NONE;
 
     /** Whether other instances follow this one, so that they depend on its view of the store. */
     private boolean followed;
@@ -51,13 +51,13 @@
      *
      * @param knownRevision start revision of the main watch
      */
-    DiscoveryRequest dueRequest(long knownRevision, long nowNanos) {
+    DiscoveryRequest dueRequest(StoreRevision knownRevision, long nowNanos) {
         if (pending != null || nowNanos < dueNanos) {
             return null;
         }
         // Starts where the last one ended, because a store that soon discards its history still has
         // the latest part of it.
-        revision = Math.max(revision, knownRevision);
+        revision = revision.max(knownRevision);
         pending = new DiscoveryRequest.Watch(kind, revision, waitMillis(), true, ++attempts);
         return pending;
     }
@@ -88,7 +88,7 @@
         boolean noChange = false;
         if (response instanceof DiscoveryResponse.Changes changes) {
             noChange = changes.objects().isEmpty();
-            revision = Math.max(revision, changes.revision());
+            revision = revision.max(changes.revision());
         }
         dueNanos = noChange ? nowNanos : nowNanos + settings.maxLagMillis() * NANOS_PER_MILLI;
         if (mainWatchMissedChange && stallDeadlineNanos == NEVER) {
--- a/core/src/main/java/org/snipeslip/core/discovery/ConfigSetBuilder.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/ConfigSetBuilder.java
@@ -131,20 +131,26 @@
 
     /**
      * Returns the end of the warm-up. An entry states the remaining warm-up as of its last change,
-     * so the end is computed once for each revision, from the time at which it is first seen.
+     * so the end is computed once for each version of it, from the time at which it is first seen.
+     * The same version has another revision after the store was restored.
      */
     private long coldUntilNanos(DiscoveryObject object, DiscoveredServer server, long nowNanos) {
         if (server.warmUpLeftNanos() <= 0) {
             return WarmUpPlan.WARM;
         }
         WarmUpEnd known = warmUpEndByServer.get(object.name());
-        if (known == null || known.revision != object.revision()) {
-            known = new WarmUpEnd(object.revision(), nowNanos + server.warmUpLeftNanos());
+        if (known == null || !known.isOf(object, server)) {
+            known = new WarmUpEnd(object.revision(), server, nowNanos + server.warmUpLeftNanos());
             warmUpEndByServer.put(object.name(), known);
         }
         return known.endNanos;
     }
 
-    /** End of a warm-up as computed for one revision of an entry. */
-    private record WarmUpEnd(long revision, long endNanos) {}
+    /** End of a warm-up as computed for one version of an entry. */
+    private record WarmUpEnd(StoreRevision revision, DiscoveredServer server, long endNanos) {
+        boolean isOf(DiscoveryObject object, DiscoveredServer other) {
+            boolean sameEra = revision.era() == object.revision().era();
+            return sameEra ? revision.equals(object.revision()) : server.equals(other);
+        }
+    }
 }
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveredServer.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveredServer.java
@@ -15,7 +15,8 @@
  * @param slots number of calls that it can process concurrently
  * @param draining whether it asks for no new calls
  * @param warmUpLeftNanos remaining duration of its warm-up; 0 if it is warm
- * @param incarnation distinguishes the starts of one server; 0 if unknown
+ * @param incarnation distinguishes the starts of one server, later ones are higher; 0 if unknown
+ * @param writes number of times that this incarnation has written its entry; 0 if unknown
  */
 public record DiscoveredServer(
         BackendServerId id,
@@ -26,4 +27,11 @@
         int slots,
         boolean draining,
         long warmUpLeftNanos,
-        long incarnation) {}
+        long incarnation,
+        long writes) {
+    /** Returns whether the server wrote this entry before another one. */
+    boolean isWrittenBefore(DiscoveredServer other) {
+        return incarnation < other.incarnation
+                || incarnation == other.incarnation && writes < other.writes;
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -1,7 +1,5 @@
 package org.snipeslip.core.discovery;
 
-import java.util.EnumMap;
-import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.snipeslip.core.call.InstanceShare;
@@ -21,12 +19,9 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
-    private static final List<DiscoveryKind> WATCHED_KINDS =
-            List.of(DiscoveryKind.CONFIG, DiscoveryKind.SERVERS, DiscoveryKind.EVACUATIONS);
-
     private final DiscoveryEngineSettings settings;
     private final OutageDetector outage;
-    private final Map<DiscoveryKind, WatchCache> caches = new EnumMap<>(DiscoveryKind.class);
+    private final WatchCaches caches;
     private final ConfigSetBuilder configSetBuilder;
     private final InstanceRegistry registry;
 
@@ -35,6 +30,9 @@
 
     private final StoreProbe storeProbe = new StoreProbe();
 
+    /** The latest era of the store that a response has shown, or a negative number before that. */
+    private long era = StoreRevision.NONE.era();
+
     /** Until then, other instances are looked for before the store is watched. */
     private long startEndNanos = NEVER;
 
@@ -57,23 +55,19 @@
         SplittableRandom random = new SplittableRandom(seed);
         this.settings = settings;
         this.outage = new OutageDetector(settings.watch());
-        WATCHED_KINDS.forEach(kind -> caches.put(kind, newCache(kind, random)));
+        this.caches = new WatchCaches(settings.watch(), outage, random);
         this.configSetBuilder = new ConfigSetBuilder(settings);
         this.registry = new InstanceRegistry(settings);
         this.follower = settings.peers() == null ? null : new PeerFollower(settings.peers());
     }
 
-    private WatchCache newCache(DiscoveryKind kind, SplittableRandom random) {
-        return new WatchCache(kind, settings.watch(), outage, random.split());
-    }
-
     /**
      * Returns whether configuration, servers and evacuations have all been read.
      *
      * @return true once calls can be served
      */
     public synchronized boolean isComplete() {
-        return configSetBuilder.config() != null && cachesComplete();
+        return configSetBuilder.config() != null && caches.areComplete();
     }
 
     /**
@@ -113,25 +107,22 @@
      *     itself or no longer knows all of them
      */
     public synchronized DiscoveryResponse answerPeer(
-            Map<DiscoveryKind, Long> revisions, long nowNanos, Outbox outbox) {
-        if (!cachesComplete() || followsPeer()) {
+            Map<DiscoveryKind, StoreRevision> revisions, long nowNanos, Outbox outbox) {
+        if (!caches.areComplete() || followsPeer()) {
             return new DiscoveryResponse.Failed(true, "does not follow the store");
         }
-        Map<DiscoveryKind, DiscoveryResponse.Changes> changes = new EnumMap<>(DiscoveryKind.class);
-        for (Map.Entry<DiscoveryKind, Long> known : revisions.entrySet()) {
-            WatchCache cache = caches.get(known.getKey());
-            DiscoveryResponse.Changes news =
-                    cache == null ? null : cache.changesSince(known.getValue());
-            if (news == null) {
-                return new DiscoveryResponse.HistoryDiscarded();
-            }
-            changes.put(known.getKey(), news);
+        if (revisions.values().stream().anyMatch(known -> known.era() > era)) {
+            return new DiscoveryResponse.Failed(true, "does not know that era of the store");
+        }
+        Map<DiscoveryKind, DiscoveryResponse.Changes> changes = caches.changesSince(revisions);
+        if (changes == null) {
+            return new DiscoveryResponse.HistoryDiscarded();
         }
         followedUntilNanos = nowNanos + settings.peers().followedMillis() * NANOS_PER_MILLI;
         if (!followed) {
             setFollowed(true, nowNanos);
             // The pending backup watches wait longer than others can rely on.
-            caches.values().forEach(cache -> cache.restartBackupWatch(nowNanos));
+            caches.all().forEach(cache -> cache.restartBackupWatch(nowNanos));
             sendDueRequests(nowNanos, outbox);
             setTimer(nowNanos, outbox);
         }
@@ -167,12 +158,12 @@
     private void start(long nowNanos, Outbox outbox) {
         send(registry.start(nowNanos), outbox);
         if (follower == null) {
-            caches.values().forEach(cache -> send(cache.start(), outbox));
+            caches.all().forEach(cache -> send(cache.start(), outbox));
         } else {
             // The lists are read at once, because callers may be waiting; the watches wait for
             // peers.
-            caches.values().forEach(WatchCache::suspend);
-            caches.values().forEach(cache -> cache.resumeList(nowNanos));
+            caches.all().forEach(WatchCache::suspend);
+            caches.all().forEach(cache -> cache.resumeList(nowNanos));
             startEndNanos = nowNanos + settings.peers().startMillis() * NANOS_PER_MILLI;
         }
     }
@@ -180,6 +171,9 @@
     private void handleResponse(Event.DiscoveryResponded answered, long nowNanos, Outbox outbox) {
         DiscoveryRequest request = answered.request();
         DiscoveryResponse response = answered.response();
+        if (!(request instanceof DiscoveryRequest.PeerPoll)) {
+            observeEra(response.era(), nowNanos, outbox);
+        }
         if (registry.awaits(request)) {
             if (registry.handleResponse(response, nowNanos) && follower != null) {
                 follower.setCandidates(registry.peersBefore(), nowNanos);
@@ -207,13 +201,30 @@
         boolean changed = cache.handleResponse(request, response, nowNanos);
         if (wasFailing && !outage.isFailing()) {
             // Watches that were pending during the failure may never receive a response.
-            caches.values().forEach(each -> each.restartWatches(nowNanos));
+            caches.all().forEach(each -> each.restartWatches(nowNanos));
         }
         if (changed) {
             publishConfigSet(nowNanos, outbox);
         }
     }
 
+    /**
+     * After the store was restored from a copy, reads everything again: revisions of the earlier
+     * era say nothing about the later one.
+     */
+    private void observeEra(long newEra, long nowNanos, Outbox outbox) {
+        if (newEra <= era) {
+            return;
+        }
+        if (era >= 0) {
+            outage.recordRestored(nowNanos);
+            caches.all().forEach(cache -> cache.relistForEra(newEra, nowNanos));
+            registry.storeRestored(newEra, nowNanos);
+            outbox.add(new Action.StoreRestored(era, newEra));
+        }
+        era = newEra;
+    }
+
     private void handlePeerResponse(
             DiscoveryRequest request, DiscoveryResponse response, long nowNanos, Outbox outbox) {
         if (followed && !follower.isFollowing()) {
@@ -222,13 +233,14 @@
             return;
         }
         boolean isList = follower.isList(request);
-        switch (follower.handleResponse(response, revisions(), nowNanos)) {
+        switch (follower.handleResponse(response, caches.revisions(), nowNanos)) {
             case APPLY_FIRST, APPLY -> {
-                caches.values().forEach(WatchCache::suspend);
+                caches.all().forEach(WatchCache::suspend);
                 startEndNanos = NEVER;
                 storeProbe.cancel();
                 // Before the changes, so that servers that were removed in an outage are kept.
                 outage.recordSuccess(nowNanos);
+                observeEra(response.era(), nowNanos, outbox);
                 applyPeer((DiscoveryResponse.PeerChanges) response, isList, nowNanos, outbox);
             }
             case APPLY_OLD -> {
@@ -256,7 +268,7 @@
             changed |=
                     isList
                             ? cache.applyPeerList(news.getValue(), nowNanos)
-                            : cache.applyPeerChanges(news.getValue(), nowNanos);
+                            : cache.applyPeerChanges(news.getValue(), knownAsOfNanos, nowNanos);
         }
         if (changed) {
             publishConfigSet(nowNanos, outbox);
@@ -280,7 +292,7 @@
     private void followStore(long nowNanos) {
         startEndNanos = NEVER;
         storeProbe.cancel();
-        caches.values().forEach(cache -> cache.resume(nowNanos));
+        caches.all().forEach(cache -> cache.resume(nowNanos));
     }
 
     /** Watches the store itself if no other instance is there, or the start has taken too long. */
@@ -297,10 +309,7 @@
 
     private void handleTimer(long nowNanos, Outbox outbox) {
         timerDueNanos = NEVER;
-        boolean changed = false;
-        for (WatchCache cache : caches.values()) {
-            changed |= cache.removeExpired(nowNanos);
-        }
+        boolean changed = caches.applyDue(nowNanos);
         if (changed) {
             publishConfigSet(nowNanos, outbox);
         }
@@ -314,20 +323,20 @@
         followed = newFollowed;
         long batchMillis =
                 followed ? settings.peers().followedBatchMillis() : settings.watch().batchMillis();
-        for (WatchCache cache : caches.values()) {
+        for (WatchCache cache : caches.all()) {
             cache.setFollowed(followed, batchMillis, nowNanos);
         }
     }
 
     private void sendDueRequests(long nowNanos, Outbox outbox) {
-        for (WatchCache cache : caches.values()) {
+        for (WatchCache cache : caches.all()) {
             cache.dueRequests(nowNanos).forEach(request -> send(request, outbox));
         }
         send(registry.dueRequest(nowNanos), outbox);
         if (follower != null && !followed) {
-            send(follower.dueRequest(revisions(), nowNanos), outbox);
+            send(follower.dueRequest(caches.revisions(), nowNanos), outbox);
         }
-        long evacuationsRevision = caches.get(DiscoveryKind.EVACUATIONS).revision();
+        StoreRevision evacuationsRevision = caches.get(DiscoveryKind.EVACUATIONS).revision();
         send(storeProbe.dueRequest(evacuationsRevision, nowNanos), outbox);
     }
 
@@ -338,17 +347,7 @@
     private boolean mayAskPeers() {
         return follower != null
                 && (!followed || follower.isFollowing())
-                && (cachesComplete() || outage.isFailing());
-    }
-
-    private Map<DiscoveryKind, Long> revisions() {
-        Map<DiscoveryKind, Long> revisions = new EnumMap<>(DiscoveryKind.class);
-        caches.forEach((kind, cache) -> revisions.put(kind, cache.revision()));
-        return revisions;
-    }
-
-    private boolean cachesComplete() {
-        return caches.values().stream().allMatch(WatchCache::isComplete);
+                && (caches.areComplete() || outage.isFailing());
     }
 
     private void publishConfigSet(long nowNanos, Outbox outbox) {
@@ -376,9 +375,7 @@
     private void setTimer(long nowNanos, Outbox outbox) {
         long due = Math.min(registry.dueNanos(), storeProbe.dueNanos());
         due = Math.min(due, startEndNanos);
-        for (WatchCache cache : caches.values()) {
-            due = Math.min(due, cache.dueNanos());
-        }
+        due = Math.min(due, caches.dueNanos());
         due = Math.min(due, followedUntilNanos);
         if (mayAskPeers()) {
             due = Math.min(due, follower.dueNanos());
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryRequest.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryRequest.java
@@ -25,20 +25,28 @@
      * @param stale whether the response may be outdated; such a request costs less
      * @param attempt sequence number that distinguishes otherwise equal requests
      */
-    record Watch(DiscoveryKind kind, long revision, long waitMillis, boolean stale, long attempt)
+    record Watch(
+            DiscoveryKind kind,
+            StoreRevision revision,
+            long waitMillis,
+            boolean stale,
+            long attempt)
             implements DiscoveryRequest {}
 
     /**
      * Asks another instance for the changes that it knows of (long poll).
      *
      * @param address address of the other instance, IP:PORT
-     * @param revisions for each kind, the revision after which changes are returned; a kind with a
-     *     negative revision is returned whole
+     * @param revisions for each kind, the revision after which changes are returned; a kind with
+     *     {@link StoreRevision#NONE} is returned whole
      * @param waitMillis maximum wait for a change
      * @param attempt sequence number that distinguishes otherwise equal requests
      */
     record PeerPoll(
-            String address, Map<DiscoveryKind, Long> revisions, long waitMillis, long attempt)
+            String address,
+            Map<DiscoveryKind, StoreRevision> revisions,
+            long waitMillis,
+            long attempt)
             implements DiscoveryRequest {
         /** Copies the map. */
         public PeerPoll {
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryResponse.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryResponse.java
@@ -12,7 +12,7 @@
      * @param more whether further pages follow
      * @param revision revision of the store at which the page was read
      */
-    record Page(List<DiscoveryObject> objects, boolean more, long revision)
+    record Page(List<DiscoveryObject> objects, boolean more, StoreRevision revision)
             implements DiscoveryResponse {
         /** Copies the list. */
         public Page {
@@ -26,7 +26,8 @@
      * @param objects the changed objects, in the order of their changes
      * @param revision revision from which the next watch continues
      */
-    record Changes(List<DiscoveryObject> objects, long revision) implements DiscoveryResponse {
+    record Changes(List<DiscoveryObject> objects, StoreRevision revision)
+            implements DiscoveryResponse {
         /** Copies the list. */
         public Changes {
             objects = List.copyOf(objects);
@@ -53,8 +54,12 @@
         }
     }
 
-    /** The object was created or already existed. */
-    record Registered() implements DiscoveryResponse {}
+    /**
+     * The object was created or already existed.
+     *
+     * @param era era of the store
+     */
+    record Registered(long era) implements DiscoveryResponse {}
 
     /** The store has discarded the history since the start revision of a watch. */
     record HistoryDiscarded() implements DiscoveryResponse {}
@@ -66,4 +71,24 @@
      * @param reason description of the failure
      */
     record Failed(boolean refused, String reason) implements DiscoveryResponse {}
+
+    /**
+     * Returns the era of the store in which this response was made.
+     *
+     * @return the era, or a negative number if the response does not tell
+     */
+    default long era() {
+        return switch (this) {
+            case Page page -> page.revision.era();
+            case Changes changes -> changes.revision.era();
+            case Registered registered -> registered.era;
+            case PeerChanges peer ->
+                    peer.changes.values().stream()
+                            .mapToLong(DiscoveryResponse::era)
+                            .max()
+                            .orElse(-1);
+            case HistoryDiscarded discarded -> -1;
+            case Failed failed -> -1;
+        };
+    }
 }
--- a/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
@@ -23,6 +23,12 @@
      */
     private static final List<Long> EARLY_READS_MILLIS = List.of(1_200L, 4_000L);
 
+    private static final long REGISTER_RETRY_NANOS = 1_000 * NANOS_PER_MILLI;
+    private static final int RESTORED_SPREAD_NANOS = 300_000_000;
+
+    /** Time after a restoration within which all instances that reach the store are registered. */
+    private static final long REREGISTER_NANOS = 60_000 * NANOS_PER_MILLI;
+
     private final DiscoveryEngineSettings settings;
     private final Map<String, DiscoveryRecord.Instance> instances = new TreeMap<>();
     private final List<DiscoveryObject> listed = new ArrayList<>();
@@ -33,6 +39,12 @@
     private long dueNanos = NEVER;
     private InstanceShare share;
 
+    /** The latest era of the store; what was written in an earlier one may be lost. */
+    private long era;
+
+    /** Until then, instances that a list lacks are still counted. */
+    private long keepMissingUntilNanos;
+
     InstanceRegistry(DiscoveryEngineSettings settings) {
         this.settings = settings;
         this.share = new InstanceShare(settings.assumedInstances(), 0);
@@ -43,7 +55,7 @@
     }
 
     long dueNanos() {
-        return dueNanos;
+        return pending == null ? dueNanos : NEVER;
     }
 
     /** Returns whether the last list has other instances. */
@@ -61,9 +73,24 @@
         return markPending(new DiscoveryRequest.ListPage(DiscoveryKind.INSTANCES, "", true));
     }
 
+    /**
+     * Registers this instance again after the store was restored from a copy, which may lack it.
+     * Other instances do the same, so all that are known are counted meanwhile.
+     */
+    void storeRestored(long newEra, long nowNanos) {
+        era = newEra;
+        registered = false;
+        keepMissingUntilNanos = nowNanos + REREGISTER_NANOS;
+        // Spreads the writes of all instances.
+        dueNanos =
+                nowNanos
+                        + Math.floorMod(
+                                mix(settings.instance().value().hashCode()), RESTORED_SPREAD_NANOS);
+    }
+
     /** Returns the next request and marks it as pending, or returns null if none is due. */
     DiscoveryRequest dueRequest(long nowNanos) {
-        if (nowNanos < dueNanos) {
+        if (nowNanos < dueNanos || pending != null) {
             return null;
         }
         dueNanos = NEVER;
@@ -83,22 +110,23 @@
         pending = null;
         switch (response) {
             case DiscoveryResponse.Registered confirmation -> {
-                registered = true;
-                dueNanos = nextReadNanos(nowNanos);
+                registered = confirmation.era() >= era;
+                dueNanos = registered ? nextReadNanos(nowNanos) : nowNanos;
             }
             case DiscoveryResponse.Page page -> {
                 listed.addAll(page.objects());
+                registered |= page.revision().era() >= era && listsSelf(page);
                 if (page.more() && !page.objects().isEmpty()) {
                     dueNanos = nowNanos;
                 } else {
-                    replaceInstances();
+                    replaceInstances(nowNanos);
                     dueNanos = registered ? nextReadNanos(nowNanos) : nowNanos;
                     return true;
                 }
             }
             default -> {
                 listed.clear();
-                dueNanos = nextReadNanos(nowNanos);
+                dueNanos = registered ? nextReadNanos(nowNanos) : nowNanos + REGISTER_RETRY_NANOS;
             }
         }
         return false;
@@ -127,8 +155,10 @@
                 .toList();
     }
 
-    private void replaceInstances() {
-        instances.clear();
+    private void replaceInstances(long nowNanos) {
+        if (nowNanos >= keepMissingUntilNanos) {
+            instances.clear();
+        }
         for (DiscoveryObject object : listed) {
             if (object.record() instanceof DiscoveryRecord.Instance instance) {
                 instances.put(object.name(), instance);
@@ -141,7 +171,6 @@
         }
         listed.clear();
         String self = settings.instance().value();
-        registered |= instances.containsKey(self);
         int before = (int) instances.keySet().stream().filter(n -> n.compareTo(self) < 0).count();
         int count = instances.size() + (instances.containsKey(self) ? 0 : 1);
         // Instances that start together are missing from the first lists.
@@ -159,6 +188,11 @@
                         others);
     }
 
+    private boolean listsSelf(DiscoveryResponse.Page page) {
+        String self = settings.instance().value();
+        return page.objects().stream().anyMatch(object -> object.name().equals(self));
+    }
+
     private String ownRegion() {
         return settings.peers() == null ? "" : settings.peers().region().value();
     }
--- a/core/src/main/java/org/snipeslip/core/discovery/OutageDetector.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/OutageDetector.java
@@ -1,14 +1,15 @@
 package org.snipeslip.core.discovery;
 
 /**
- * Detects outages of the store from the results of all requests. For a grace period after an
- * outage, removed servers are kept, because they may register again.
+ * Detects outages of the store from the results of all requests. For a grace period after an outage
+ * or a restoration, removed servers are kept, because they may register again.
  */
 final class OutageDetector {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final long outageNanos;
     private final long graceNanos;
+    private final long batchNanos;
     private boolean failing;
     private long failingSinceNanos;
     private long graceEndNanos;
@@ -17,6 +18,7 @@
     OutageDetector(WatchSettings settings) {
         this.outageNanos = settings.outageMillis() * NANOS_PER_MILLI;
         this.graceNanos = settings.recoveryGraceMillis() * NANOS_PER_MILLI;
+        this.batchNanos = settings.batchMillis() * NANOS_PER_MILLI;
     }
 
     void recordFailure(long nowNanos) {
@@ -34,6 +36,15 @@
         failing = false;
     }
 
+    /**
+     * The store came back from a copy, which may lack what was registered since. What is registered
+     * again within the grace period may only be read with the next batch of changes.
+     */
+    void recordRestored(long nowNanos) {
+        recovered = true;
+        graceEndNanos = nowNanos + graceNanos + batchNanos;
+    }
+
     /** Returns until when a removed server is kept, or the current time if it is not kept. */
     long keepUntilNanos(long nowNanos) {
         return recovered && nowNanos < graceEndNanos ? graceEndNanos : nowNanos;
--- a/core/src/main/java/org/snipeslip/core/discovery/PeerFollower.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/PeerFollower.java
@@ -15,9 +15,6 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
-    /** Revision of a kind of which nothing is known. */
-    private static final long UNKNOWN_REVISION = -1;
-
     /** If none of these answers, the store is a shorter way than the next candidate. */
     private static final int MAX_CANDIDATES = 3;
 
@@ -68,7 +65,7 @@
      *
      * @param revisions what this instance knows of each kind
      */
-    DiscoveryRequest dueRequest(Map<DiscoveryKind, Long> revisions, long nowNanos) {
+    DiscoveryRequest dueRequest(Map<DiscoveryKind, StoreRevision> revisions, long nowNanos) {
         if (pending != null || nowNanos < dueNanos) {
             return null;
         }
@@ -85,10 +82,10 @@
         // Another one is only tried, so that the followed one is soon heard again.
         triedOther = !address.equals(followed);
         long waitMillis = triedOther ? 0 : settings.pollMillis();
-        Map<DiscoveryKind, Long> since = revisions;
-        if (askWhole != null || revisions.containsValue(UNKNOWN_REVISION)) {
+        Map<DiscoveryKind, StoreRevision> since = revisions;
+        if (askWhole != null || revisions.containsValue(StoreRevision.NONE)) {
             since = new EnumMap<>(revisions);
-            since.replaceAll((kind, revision) -> UNKNOWN_REVISION);
+            since.replaceAll((kind, revision) -> StoreRevision.NONE);
         }
         askWhole = null;
         pending = new DiscoveryRequest.PeerPoll(address, since, waitMillis, ++attempts);
@@ -110,7 +107,9 @@
      * @param revisions what this instance knows of each kind now
      */
     Result handleResponse(
-            DiscoveryResponse response, Map<DiscoveryKind, Long> revisions, long nowNanos) {
+            DiscoveryResponse response,
+            Map<DiscoveryKind, StoreRevision> revisions,
+            long nowNanos) {
         DiscoveryRequest.PeerPoll poll = pending;
         pending = null;
         dueNanos = nowNanos;
@@ -133,7 +132,7 @@
                 return Result.APPLY_OLD;
             }
             avoid(poll.address(), nowNanos, settings.pollMillis());
-            return revisions.containsValue(UNKNOWN_REVISION) ? Result.APPLY_OLD : Result.IGNORE;
+            return revisions.containsValue(StoreRevision.NONE) ? Result.APPLY_OLD : Result.IGNORE;
         }
         boolean first = followed == null;
         followed = poll.address();
@@ -200,14 +199,16 @@
     }
 
     private static boolean isWhole(DiscoveryRequest.PeerPoll poll) {
-        return poll.revisions().containsValue(UNKNOWN_REVISION);
+        return poll.revisions().containsValue(StoreRevision.NONE);
     }
 
     private static boolean isOlder(
-            DiscoveryResponse.PeerChanges peer, Map<DiscoveryKind, Long> revisions) {
+            DiscoveryResponse.PeerChanges peer, Map<DiscoveryKind, StoreRevision> revisions) {
         return revisions.entrySet().stream()
                 .anyMatch(
-                        known -> peer.changes().get(known.getKey()).revision() < known.getValue());
+                        known ->
+                                known.getValue()
+                                        .isAfter(peer.changes().get(known.getKey()).revision()));
     }
 
     /** What a response to a poll means. */
--- a/core/src/main/java/org/snipeslip/core/discovery/StoreProbe.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/StoreProbe.java
@@ -30,7 +30,7 @@
     }
 
     /** Returns the next probe and marks it as pending, or returns null if none is due. */
-    DiscoveryRequest dueRequest(long knownRevision, long nowNanos) {
+    DiscoveryRequest dueRequest(StoreRevision knownRevision, long nowNanos) {
         if (nowNanos < dueNanos) {
             return null;
         }
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchCache.java
@@ -1,7 +1,6 @@
 package org.snipeslip.core.discovery;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -28,19 +27,13 @@
     private final RandomGenerator random;
     private final BackupWatch backupWatch;
     private final KnownObjects objects;
-    private final Map<String, DiscoveryObject> listed = new HashMap<>();
-    private State state = State.LISTING;
-    private String lastListedName = "";
-    private long firstPageRevision = -1;
-    private long listRevision = -1;
 
-    /**
-     * False after the store had discarded the history since an older page; the next list then uses
-     * up-to-date pages only, so that it succeeds.
-     */
-    private boolean allowStalePages = true;
+    /** What a cheap response, or another instance, says may be as old as this. */
+    private final long staleNanos;
 
-    private long revision = -1;
+    private final PagedList list = new PagedList();
+    private State state = State.LISTING;
+    private StoreRevision revision = StoreRevision.NONE;
 
     private long batchMillis;
 
@@ -65,8 +58,9 @@
         this.outage = outage;
         this.random = random;
         this.backupWatch = new BackupWatch(kind, settings, outage);
-        this.objects = new KnownObjects(kind, outage);
+        this.objects = new KnownObjects(kind, outage, settings.expiryMillis() * NANOS_PER_MILLI);
         this.batchMillis = settings.batchMillis();
+        this.staleNanos = settings.recoveryGraceMillis() * NANOS_PER_MILLI;
     }
 
     /**
@@ -88,25 +82,25 @@
 
     /** Returns whether the list was read completely at least once. */
     boolean isComplete() {
-        return revision >= 0;
+        return revision.isKnown();
     }
 
     DiscoveryRequest start() {
         return markPending(nextRequest());
     }
 
-    /** Returns up to which revision all changes are known, or -1 before the list was read. */
-    long revision() {
+    /** Returns up to which revision all changes are known; none before the list was read. */
+    StoreRevision revision() {
         return revision;
     }
 
     /**
      * Returns what another instance has to learn that knows all changes up to a revision.
      *
-     * @param sinceRevision the revision; all objects are returned if it is negative
+     * @param sinceRevision the revision; all objects are returned for {@link StoreRevision#NONE}
      * @return the changes, or null if they are no longer known
      */
-    DiscoveryResponse.Changes changesSince(long sinceRevision) {
+    DiscoveryResponse.Changes changesSince(StoreRevision sinceRevision) {
         return objects.changesSince(sinceRevision, revision);
     }
 
@@ -114,12 +108,13 @@
      * Applies what another instance knows.
      *
      * @param changes changes since {@link #revision}
+     * @param asOfNanos when the other instance last heard from the store
      * @return whether the objects changed
      */
-    boolean applyPeerChanges(DiscoveryResponse.Changes changes, long nowNanos) {
+    boolean applyPeerChanges(DiscoveryResponse.Changes changes, long asOfNanos, long nowNanos) {
         boolean changed = objects.applyAll(changes.objects(), changes.revision(), nowNanos);
-        revision = Math.max(revision, changes.revision());
-        return changed;
+        revision = revision.max(changes.revision());
+        return changed | objects.useWithheld(asOfNanos - staleNanos);
     }
 
     /**
@@ -128,13 +123,11 @@
      *
      * @return whether the objects changed
      */
-    boolean applyPeerList(DiscoveryResponse.Changes list, long nowNanos) {
+    boolean applyPeerList(DiscoveryResponse.Changes whole, long nowNanos) {
         pending = null;
         // Continues with a watch unless the copy is suspended.
         dueNanos = nowNanos;
-        resetList();
-        list.objects().forEach(object -> listed.put(object.name(), object));
-        listRevision = list.revision();
+        list.replace(whole);
         return applyList(nowNanos);
     }
 
@@ -172,7 +165,7 @@
         boolean watching = isComplete() && !suspended;
         long due =
                 Math.min(isActive() ? dueNanos : NEVER, watching ? backupWatch.dueNanos() : NEVER);
-        return Math.min(due, objects.nextRemovalNanos());
+        return Math.min(due, objects.dueNanos());
     }
 
     /** Marks the requests that are due as pending and returns them. */
@@ -212,9 +205,9 @@
         backupWatch.restart(nowNanos);
     }
 
-    /** Drops removed objects whose grace period has ended; returns whether there were any. */
-    boolean removeExpired(long nowNanos) {
-        return objects.removeExpired(nowNanos);
+    /** Applies what is due without a response; returns whether the objects changed. */
+    boolean applyDue(long nowNanos) {
+        return objects.applyDue(nowNanos);
     }
 
     /** Returns whether a request is pending, so that its response is to be handled. */
@@ -225,7 +218,7 @@
     /** Handles the response to a pending request; returns whether the objects changed. */
     boolean handleResponse(DiscoveryRequest request, DiscoveryResponse response, long nowNanos) {
         if (backupWatch.awaits(request)) {
-            return handleBackupResponse(response, nowNanos);
+            return handleBackupResponse(request, response, nowNanos);
         }
         pending = null;
         return switch (response) {
@@ -239,18 +232,26 @@
                 recordSuccess(nowNanos);
                 yield addPage(page, nowNanos);
             }
+            case DiscoveryResponse.Changes changes when isOfOtherEra(request, changes) -> {
+                recordSuccess(nowNanos);
+                relist(nowNanos);
+                yield false;
+            }
             case DiscoveryResponse.Changes changes -> {
                 recordSuccess(nowNanos);
                 // Each request is billed, so one watch reads all changes of a short period.
                 boolean batch = !changes.objects().isEmpty();
                 dueNanos = nowNanos + (batch ? batchMillis * NANOS_PER_MILLI : 0);
                 boolean changed = state == State.CATCHING_UP && applyList(nowNanos);
-                revision = Math.max(revision, changes.revision());
-                yield changed | objects.applyAll(changes.objects(), changes.revision(), nowNanos);
+                revision = revision.max(changes.revision());
+                changed |= objects.applyAll(changes.objects(), changes.revision(), nowNanos);
+                yield changed | objects.useWithheld(nowNanos);
             }
             case DiscoveryResponse.HistoryDiscarded discarded -> {
                 recordSuccess(nowNanos);
-                allowStalePages &= state != State.CATCHING_UP;
+                if (state == State.CATCHING_UP) {
+                    list.setAllowStalePages(false);
+                }
                 relist(nowNanos);
                 yield false;
             }
@@ -260,12 +261,33 @@
         };
     }
 
-    private boolean handleBackupResponse(DiscoveryResponse response, long nowNanos) {
+    /** Changes since a revision of another era lack those that the era began with. */
+    private static boolean isOfOtherEra(
+            DiscoveryRequest request, DiscoveryResponse.Changes changes) {
+        return request instanceof DiscoveryRequest.Watch watch
+                && watch.revision().era() != changes.revision().era();
+    }
+
+    /**
+     * Reads the list again if what is known, or has been read of the list, is of an earlier era.
+     */
+    void relistForEra(long era, long nowNanos) {
+        StoreRevision read = state == State.LISTING ? list.firstRevision() : revision;
+        if (read.isKnown() && read.era() < era) {
+            relist(nowNanos);
+        }
+    }
+
+    private boolean handleBackupResponse(
+            DiscoveryRequest request, DiscoveryResponse response, long nowNanos) {
         boolean changed = false;
         switch (response) {
+            case DiscoveryResponse.Changes changes when isOfOtherEra(request, changes) ->
+                    outage.recordSuccess(nowNanos);
             case DiscoveryResponse.Changes changes -> {
                 outage.recordSuccess(nowNanos);
                 changed = objects.applyAll(changes.objects(), changes.revision(), nowNanos);
+                changed |= objects.useWithheld(nowNanos - staleNanos);
             }
             case DiscoveryResponse.Failed failed -> outage.recordFailure(nowNanos);
             case DiscoveryResponse.HistoryDiscarded discarded -> {
@@ -289,20 +311,15 @@
 
     private boolean addPage(DiscoveryResponse.Page page, long nowNanos) {
         dueNanos = nowNanos;
-        if (firstPageRevision < 0) {
-            firstPageRevision = page.revision();
-            listRevision = page.revision();
-        }
-        // The watch starts at the oldest page, so that changes between the pages are not missed.
-        listRevision = Math.min(listRevision, page.revision());
-        for (DiscoveryObject object : page.objects()) {
-            listed.put(object.name(), object);
-            lastListedName = object.name();
+        if (!list.add(page)) {
+            list.setAllowStalePages(false);
+            relist(nowNanos);
+            return false;
         }
         if (page.more() && !page.objects().isEmpty()) {
             return false;
         }
-        if (listRevision < firstPageRevision) {
+        if (list.firstRevision().isAfter(list.oldestRevision())) {
             // An older page may lack changes already applied, so it is not applied on its own.
             state = State.CATCHING_UP;
             return false;
@@ -311,26 +328,20 @@
     }
 
     private boolean applyList(long nowNanos) {
-        boolean changed = !isComplete() | objects.replaceAll(listed, listRevision, nowNanos);
-        revision = Math.max(revision, listRevision);
-        resetList();
+        StoreRevision listed = list.oldestRevision();
+        boolean changed = !isComplete() | objects.replaceAll(list.objects(), listed, nowNanos);
+        revision = revision.max(listed);
+        list.clear();
+        list.setAllowStalePages(true);
         state = State.WATCHING;
-        allowStalePages = true;
         return changed;
     }
 
     private void relist(long nowNanos) {
         pending = null;
         dueNanos = nowNanos;
-        resetList();
-    }
-
-    private void resetList() {
+        list.clear();
         state = State.LISTING;
-        listed.clear();
-        lastListedName = "";
-        firstPageRevision = -1;
-        listRevision = -1;
     }
 
     private long backoffNanos() {
@@ -343,12 +354,10 @@
 
     private DiscoveryRequest nextRequest() {
         return switch (state) {
-            case LISTING ->
-                    new DiscoveryRequest.ListPage(
-                            kind, lastListedName, allowStalePages && !lastListedName.isEmpty());
+            case LISTING -> list.nextRequest(kind);
             case CATCHING_UP ->
                     new DiscoveryRequest.Watch(
-                            kind, listRevision, MIN_WAIT_MILLIS, false, ++attempts);
+                            kind, list.oldestRevision(), MIN_WAIT_MILLIS, false, ++attempts);
             case WATCHING ->
                     new DiscoveryRequest.Watch(
                             kind, revision, settings.mainWatchMillis(), false, ++attempts);
--- a/core/src/main/java/org/snipeslip/core/discovery/WatchSettings.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/WatchSettings.java
@@ -20,6 +20,8 @@
  * @param outageMillis duration of failures from which they count as an outage of the store
  * @param recoveryGraceMillis time after an outage in which removed servers are kept, because they
  *     may register again
+ * @param expiryMillis time after the return of a restored store by which the entries of servers
+ *     that are gone have expired
  * @param instancesRefreshMillis interval between two reads of the list of instances
  */
 public record WatchSettings(
@@ -34,4 +36,5 @@
         long maxBackoffMillis,
         long outageMillis,
         long recoveryGraceMillis,
+        long expiryMillis,
         long instancesRefreshMillis) {}
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -155,4 +155,12 @@
             int share,
             boolean byProbe)
             implements Action {}
+
+    /**
+     * Reports that the store was restored from a copy, for the log.
+     *
+     * @param eraBefore the era that was known before
+     * @param era the era that a response has shown
+     */
+    record StoreRestored(long eraBefore, long era) implements Action {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -11,6 +11,7 @@
 import org.snipeslip.core.discovery.DiscoveryEngineSettings;
 import org.snipeslip.core.discovery.DiscoveryKind;
 import org.snipeslip.core.discovery.DiscoveryResponse;
+import org.snipeslip.core.discovery.StoreRevision;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
 
@@ -91,7 +92,7 @@
      * @param nowNanos the current time of a monotonic clock
      * @return the changes since then, or why there is no answer
      */
-    public PeerAnswer answerPeer(Map<DiscoveryKind, Long> revisions, long nowNanos) {
+    public PeerAnswer answerPeer(Map<DiscoveryKind, StoreRevision> revisions, long nowNanos) {
         Outbox outbox = new Outbox();
         DiscoveryResponse response = discovery.answerPeer(revisions, nowNanos, outbox);
         return new PeerAnswer(response, outbox.actions());
--- a/server/src/main/java/org/snipeslip/server/operator/InstanceMetrics.java
+++ b/server/src/main/java/org/snipeslip/server/operator/InstanceMetrics.java
@@ -21,6 +21,7 @@
     private final Counter openCalls = registry.counter(PREFIX + "open_calls");
     private final Counter tries = registry.counter(PREFIX + "tries_total");
     private final Counter rateLimitChanges = registry.counter(PREFIX + "rate_limit_changes_total");
+    private final Counter storeRestorations = registry.counter(PREFIX + "store_restorations_total");
     private final Counter storeCalls = registry.counter(PREFIX + "object_api_calls_total");
     private final Counter storeFailures = registry.counter(PREFIX + "object_api_failures_total");
     private final Histogram callDuration = registerHistogram("call_duration_seconds");
@@ -59,6 +60,11 @@
         registry.counter(PREFIX + "refusals_total{reason=\"" + reason + "\"}").inc();
     }
 
+    /** Counts a restoration of the store from a copy. */
+    public void storeRestored() {
+        storeRestorations.inc();
+    }
+
     /** Counts a logged change of the rate limit that a backend server names. */
     public void rateLimitChanged() {
         rateLimitChanges.inc();
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -20,6 +20,7 @@
 import org.snipeslip.core.discovery.DiscoveredConfig;
 import org.snipeslip.core.discovery.DiscoveryKind;
 import org.snipeslip.core.discovery.DiscoveryResponse;
+import org.snipeslip.core.discovery.StoreRevision;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.DiscoveryInstance;
 import org.snipeslip.core.instance.Event;
@@ -216,7 +217,7 @@
         return actions;
     }
 
-    private DiscoveryResponse answerPeer(Map<DiscoveryKind, Long> revisions) {
+    private DiscoveryResponse answerPeer(Map<DiscoveryKind, StoreRevision> revisions) {
         DiscoveryInstance.PeerAnswer answer = instance.answerPeer(revisions, System.nanoTime());
         driver.execute(answer.actions());
         return answer.response();
--- a/server/src/main/java/org/snipeslip/server/runtime/JvmWarmupStore.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/JvmWarmupStore.java
@@ -14,6 +14,7 @@
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.discovery.ServiceConfig;
+import org.snipeslip.core.discovery.StoreRevision;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.InstanceId;
@@ -27,7 +28,7 @@
     static final BackendServerId SERVER = new BackendServerId("rehearsal");
 
     private static final ServiceId SERVICE = new ServiceId("rehearsal");
-    private static final long REVISION = 1;
+    private static final StoreRevision REVISION = new StoreRevision(0, 1);
     private static final long LIMIT_MILLIS = 1_000;
     private static final int MAX_BYTES = 16 * 1024;
 
@@ -52,7 +53,7 @@
                     consumer.accept(
                             new DiscoveryResponse.Page(objects(page.kind()), false, REVISION));
             case DiscoveryRequest.Register register ->
-                    consumer.accept(new DiscoveryResponse.Registered());
+                    consumer.accept(new DiscoveryResponse.Registered(REVISION.era()));
             case DiscoveryRequest.PeerPoll poll ->
                     throw new IllegalStateException("the warm-up has no peers");
             case DiscoveryRequest.Watch watch -> {
@@ -104,6 +105,6 @@
 
     private DiscoveredServer server() {
         return new DiscoveredServer(
-                SERVER, SERVICE, "127.0.0.1", port, failureDomain, 1, false, 0, 1);
+                SERVER, SERVICE, "127.0.0.1", port, failureDomain, 1, false, 0, 1, 1);
     }
 }
--- a/server/src/main/java/org/snipeslip/server/runtime/PeerFeed.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/PeerFeed.java
@@ -15,6 +15,7 @@
 import java.util.function.Function;
 import org.snipeslip.core.discovery.DiscoveryKind;
 import org.snipeslip.core.discovery.DiscoveryResponse;
+import org.snipeslip.core.discovery.StoreRevision;
 
 /**
  * Answers the polls of other instances: {@code GET
@@ -31,7 +32,7 @@
     /** More than the instances of a region. */
     private static final int MAX_WAITING = 1_024;
 
-    private final Function<Map<DiscoveryKind, Long>, DiscoveryResponse> source;
+    private final Function<Map<DiscoveryKind, StoreRevision>, DiscoveryResponse> source;
     private final Function<DiscoveryResponse.PeerChanges, String> encoder;
     private final Set<Poll> waiting = ConcurrentHashMap.newKeySet();
 
@@ -42,7 +43,7 @@
      * @param encoder encodes them for other instances
      */
     PeerFeed(
-            Function<Map<DiscoveryKind, Long>, DiscoveryResponse> source,
+            Function<Map<DiscoveryKind, StoreRevision>, DiscoveryResponse> source,
             Function<DiscoveryResponse.PeerChanges, String> encoder) {
         this.source = source;
         this.encoder = encoder;
@@ -50,17 +51,17 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        Map<DiscoveryKind, Long> revisions = new EnumMap<>(DiscoveryKind.class);
+        Map<DiscoveryKind, StoreRevision> revisions = new EnumMap<>(DiscoveryKind.class);
         long waitMillis;
         try {
             for (DiscoveryKind kind : DiscoveryKind.values()) {
-                Long revision = number(exchange, kind.name().toLowerCase(Locale.ROOT));
+                String revision = value(exchange, kind.name().toLowerCase(Locale.ROOT));
                 if (revision != null) {
-                    revisions.put(kind, revision);
+                    revisions.put(kind, StoreRevision.parse(revision));
                 }
             }
-            Long wait = number(exchange, WAIT_MILLIS);
-            waitMillis = wait == null ? 0 : Math.clamp(wait, 0, MAX_WAIT_MILLIS);
+            String wait = value(exchange, WAIT_MILLIS);
+            waitMillis = wait == null ? 0 : Math.clamp(Long.parseLong(wait), 0, MAX_WAIT_MILLIS);
         } catch (NumberFormatException e) {
             end(exchange, StatusCodes.BAD_REQUEST);
             return;
@@ -80,9 +81,9 @@
         waiting.forEach(poll -> poll.exchange.getIoThread().execute(poll::changed));
     }
 
-    private static Long number(HttpServerExchange exchange, String name) {
+    private static String value(HttpServerExchange exchange, String name) {
         Deque<String> values = exchange.getQueryParameters().get(name);
-        return values == null ? null : Long.valueOf(values.getFirst());
+        return values == null ? null : values.getFirst();
     }
 
     private static void end(HttpServerExchange exchange, int status) {
@@ -93,9 +94,9 @@
     /** One poll; its methods run on the I/O thread of its exchange. */
     private final class Poll {
         private final HttpServerExchange exchange;
-        private final Map<DiscoveryKind, Long> revisions;
+        private final Map<DiscoveryKind, StoreRevision> revisions;
 
-        Poll(HttpServerExchange exchange, Map<DiscoveryKind, Long> revisions) {
+        Poll(HttpServerExchange exchange, Map<DiscoveryKind, StoreRevision> revisions) {
             this.exchange = exchange;
             this.revisions = revisions;
         }
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -119,6 +119,7 @@
                 case Action.SendPeerMessage a -> peerSender.accept(a.address(), a.message());
                 case Action.SendProbe a -> probeSender.send(a);
                 case Action.RateLimitChanged a -> logRateLimit(a);
+                case Action.StoreRestored a -> logStoreRestored(a);
             }
         }
     }
@@ -158,6 +159,14 @@
                 .log("rate limit of a backend server changed");
     }
 
+    private void logStoreRestored(Action.StoreRestored restored) {
+        metrics.storeRestored();
+        LOG.atWarn()
+                .addKeyValue("eraBefore", restored.eraBefore())
+                .addKeyValue("era", restored.era())
+                .log("store was restored from a copy; everything is read again");
+    }
+
     private static String textOf(RateLimit limit) {
         return switch (limit) {
             case RateLimit.Unknown unknown -> "unknown";
