Tell other instances of a removal up to its own revision

An instance that asked in between was told a revision that covers the removal, but not the removal. If it then turned to the store, it used the server for good. Independent of restorations.

Change: a removal is told if its own revision or the one at which it was learned is in the range.

Test: KnownObjectsTest.tellsOfARemovalUpToItsOwnRevision failed before.

--- a/core/src/main/java/org/snipeslip/core/discovery/KnownObjects.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/KnownObjects.java
@@ -82,7 +82,10 @@
         if (!whole) {
             removals.forEach(
                     (name, removal) -> {
-                        if (isBetween(removal.learnedRevision, sinceRevision, untilRevision)) {
+                        // One that was reported again later still belongs to its own revision.
+                        if (isBetween(removal.revision, sinceRevision, untilRevision)
+                                || isBetween(
+                                        removal.learnedRevision, sinceRevision, untilRevision)) {
                             changes.add(DiscoveryObject.deleted(name, removal.revision));
                         }
                     });
--- a/core/src/test/java/org/snipeslip/core/discovery/KnownObjectsTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/KnownObjectsTest.java
@@ -90,6 +90,18 @@
         assertThat(known.asMap().containsKey("a")).isEqualTo(kept);
     }
 
+    /** Guards against another instance that never hears of a removal which was reported twice. */
+    @Test
+    void tellsOfARemovalUpToItsOwnRevision() {
+        DiscoveryObject removal = DiscoveryObject.deleted("a", at(1, 12));
+        known.applyAll(List.of(removal), at(1, 12), nowNanos);
+        known.applyAll(List.of(removal), at(1, 14), nowNanos);
+
+        assertThat(known.changesSince(at(1, 11), at(1, 12)).objects())
+                .extracting(DiscoveryObject::name)
+                .containsExactly("a");
+    }
+
     private boolean isDraining(String name) {
         return known.asMap().get(name).record()
                         instanceof DiscoveryRecord.Server(DiscoveredServer server)
