--- a/core/src/main/java/org/snipeslip/core/discovery/KnownObjects.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/KnownObjects.java
@@ -18,6 +18,7 @@
 final class KnownObjects {
     private static final long NEVER = Long.MAX_VALUE;
 
+    /** Interval of looking whether the store, which an object may return to, is back. */
     private static final long POSTPONED_NANOS = 500_000_000;
 
     /** Removals that are remembered; if there are more, other instances read whole lists. */
@@ -217,6 +218,7 @@
         return known == null || !known.revision().equals(object.revision());
     }
 
+    /** Returns whether a revision is of a later era, so that its object may be from the copy. */
     private static boolean isFromCopy(StoreRevision known, StoreRevision revision) {
         return revision.era() > known.era();
     }
@@ -235,7 +237,7 @@
         withheld.remove(name);
     }
 
-    /** Removes an object that a list lacks. That a restored store lacks it does not prove much. */
+    /** Removes an object that a list lacks, which proves nothing if the store was restored. */
     private boolean removeMissing(
             DiscoveryObject known, StoreRevision listRevision, long nowNanos) {
         boolean restored = isFromCopy(known.revision(), listRevision);
--- a/core/src/main/java/org/snipeslip/core/ratelimit/CallAllowance.java
+++ b/core/src/main/java/org/snipeslip/core/ratelimit/CallAllowance.java
@@ -6,9 +6,8 @@
 /**
  * Limits the calls of this instance to one backend server while that server names a rate limit. The
  * limit applies to the sum over all instances, which do not communicate: each of them has a fixed
- * share of the calls that are allowed in a window, and keeps it in every sliding window. The shares
- * of all instances add up to the limit, so the sum never exceeds it, and a share that is not used
- * is lost.
+ * share of the calls that are allowed in a window, and keeps it in every sliding window. A share
+ * that is not used is lost, so the shares add up to a little more than the limit.
  */
 public final class CallAllowance {
     /** Long enough for a few calls at low rates, so that several instances have a share. */
