Take no load or rate limit from a server that has taken over an address

Change: what a 421 says is ignored where calls name the server they are meant for; it still counts as not run.

Test: CallerRequestIdTest.rateLimitOfAnotherServerDoesNotCount, 421, failed before.

--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -252,7 +252,11 @@
             fail(TryFailure.MALFORMED, LoadReport.UNKNOWN);
             return;
         }
-        if (isNotRun(status, headers)) {
+        if (isFromAnotherServer(status)) {
+            fail(TryFailure.REFUSED_NOT_RUN, LoadReport.UNKNOWN);
+            return;
+        }
+        if (status >= FIRST_ERROR_STATUS && headers.contains(dialect.notRun())) {
             fail(TryFailure.REFUSED_NOT_RUN, load);
             return;
         }
@@ -269,10 +273,8 @@
                 || sent.equals(headers.getFirst(name));
     }
 
-    private boolean isNotRun(int status, HeaderMap headers) {
-        HttpDialect dialect = relay.dialect();
-        return status >= FIRST_ERROR_STATUS && headers.contains(dialect.notRun())
-                || status == MISDIRECTED_REQUEST && dialect.expectedServer() != null;
+    private boolean isFromAnotherServer(int status) {
+        return status == MISDIRECTED_REQUEST && relay.dialect().expectedServer() != null;
     }
 
     private void fail(TryFailure failure, LoadReport load) {
--- a/server/src/test/java/org/snipeslip/server/http/CallerRequestIdTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/CallerRequestIdTest.java
@@ -13,6 +13,7 @@
 import org.snipeslip.core.call.LoadReport;
 import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.instance.Event;
+import org.snipeslip.core.ratelimit.RateLimit;
 
 /**
  * Tests a dialect in which callers set the request id, and backend servers repeat it and check that
@@ -86,6 +87,24 @@
         }
     }
 
+    /** Guards against a rate limit of the server that has taken over an address. */
+    @ParameterizedTest
+    @CsvSource({"503, true", "421, false"})
+    void rateLimitOfAnotherServerDoesNotCount(int status, boolean fromTarget) throws Exception {
+        try (RawSocket caller = fixture.call(GET)) {
+            RawSocket connection = fixture.backend.acceptRequest();
+            connection.write(
+                    "HTTP/1.1 "
+                            + status
+                            + " X\r\nCall-Name: c1\r\nRefused: 1\r\nLimit: 5\r\n"
+                            + "Content-Length: 0\r\n\r\n");
+            RateLimit expected = fromTarget ? new RateLimit.CallsPerSecond(5) : RateLimit.UNKNOWN;
+            assertThat(fixture.engine.await(Event.TryFailed.class).load().rateLimit())
+                    .isEqualTo(expected);
+            assertThat(caller.readHead()).isNotEmpty();
+        }
+    }
+
     /** Without the not-run field, a 503 of a backend server is relayed like any other response. */
     @Test
     void errorWithoutNotRunFieldIsRelayed() throws Exception {
