Count a server as still used only once its entry has been gone for the time limit

Change: the entry must have been gone for the 2 s of the limit; without restorations this is the same check, because a change is looked at 2 s after it was made.

--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
             new EnumMap<>(DiscoveryKind.class);
     private final List<Change> history = new ArrayList<>();
     private final Set<String> rewritten = new HashSet<>();
+    private final Map<String, Long> removedNanos = new HashMap<>();
     private final List<WaitingWatch> waiting = new ArrayList<>();
     private long era = 1;
     private long revision = 1;
@@ -78,6 +80,7 @@
         copy.history.forEach(each -> history.add(new Change(each.kind, inEra(each.object))));
         copy.objects.forEach(
                 (kind, ofKind) -> {
+                    removedNanos.keySet().removeAll(ofKind.keySet());
                     objects.get(kind).clear();
                     ofKind.forEach((name, each) -> objects.get(kind).put(name, inEra(each)));
                 });
@@ -92,6 +95,12 @@
         return rewritten.contains(server);
     }
 
+    /** Returns whether an object was removed at least some time ago, and has not come back. */
+    boolean isGoneFor(String name, long nanos) {
+        Long removed = removedNanos.get(name);
+        return removed != null && time.nowNanos() - removed >= nanos;
+    }
+
     boolean wasRestored() {
         return era > 1;
     }
@@ -111,12 +120,14 @@
                 && server.writes() > 1) {
             rewritten.add(name);
         }
+        removedNanos.remove(name);
         record(kind, new DiscoveryObject(name, nextRevision(), false, record));
     }
 
     void remove(DiscoveryKind kind, String name) {
         DiscoveryObject removed = objects.get(kind).get(name);
         DiscoveryRecord last = removed == null ? null : removed.record();
+        removedNanos.put(name, time.nowNanos());
         record(kind, new DiscoveryObject(name, nextRevision(), true, last));
     }
 
