--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -13,7 +13,7 @@
 final class ServerFeedback {
     private static final int MIN_ERROR_STATUS = 500;
 
-    /** A probe that has no answer within this time has failed. */
+    /** A probe that has no answer within this time has failed, so an answer is to a later one. */
     private static final long MAX_PROBE_NANOS = 500_000_000;
 
     /** A response this many times slower than the service mean is evidence of a cold server. */
--- a/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
@@ -24,6 +24,8 @@
     private static final List<Long> EARLY_READS_MILLIS = List.of(1_200L, 4_000L);
 
     private static final long REGISTER_RETRY_NANOS = 1_000 * NANOS_PER_MILLI;
+
+    /** Keeps hundreds of instances that register again below the write rate of the store. */
     private static final int RESTORED_SPREAD_NANOS = 300_000_000;
 
     /** Time after a restoration within which all instances that reach the store are registered. */
