Raise a named rate limit also while responses overlap

Cause (found by reading the change again): each response with a limit moved the time after which a request must have been sent to raise it, also a response whose higher limit was refused. While responses overlap, or probes come more often than every 0.5 s, the limit was never raised. Too few calls, never too many.

Change: only a response that is applied moves that time; one that repeats or lowers the limit is always applied.

Test: CallAllowanceTest.higherLimitOfOverlappingResponsesRaisesTheLimit failed before. The other tests of the allowance, of the shares and NamedRateLimitTest pass.

--- a/core/src/main/java/org/snipeslip/core/ratelimit/CallAllowance.java
+++ b/core/src/main/java/org/snipeslip/core/ratelimit/CallAllowance.java
@@ -80,11 +80,12 @@
             }
             case RateLimit.CallsPerSecond rate -> {
                 boolean first = !isLimited();
-                if (first || sentNanos - statedNanos >= 0 || isLower(rate)) {
+                // A higher limit that is not applied confirms nothing, and must not defer the next.
+                if (first || sentNanos - statedNanos >= 0 || !isHigher(rate)) {
                     limit = rate;
+                    statedNanos = nowNanos;
                     update();
                 }
-                statedNanos = nowNanos;
                 if (window == null) {
                     window = new CallWindow(MAX_WINDOW_NANOS);
                 }
@@ -159,9 +160,9 @@
         }
     }
 
-    private boolean isLower(RateLimit.CallsPerSecond rate) {
+    private boolean isHigher(RateLimit.CallsPerSecond rate) {
         return limit instanceof RateLimit.CallsPerSecond(double known)
-                && rate.callsPerSecond() < known;
+                && rate.callsPerSecond() > known;
     }
 
     private void update() {
--- a/core/src/test/java/org/snipeslip/core/ratelimit/CallAllowanceTest.java
+++ b/core/src/test/java/org/snipeslip/core/ratelimit/CallAllowanceTest.java
@@ -75,6 +75,16 @@
         assertThat(allowance.share()).isGreaterThan(1_000);
     }
 
+    /** Guards against a limit that is never raised while responses overlap all the time. */
+    @Test
+    void higherLimitOfOverlappingResponsesRaisesTheLimit() {
+        allowance.observe(SLOW, 0, 100);
+        for (long now = 110; now <= 300; now += 10) {
+            allowance.observe(new RateLimit.CallsPerSecond(1_000), now - 100, now);
+        }
+        assertThat(allowance.share()).isGreaterThan(1_000);
+    }
+
     @Test
     void responseThatSaysNothingChangesNothing() {
         allowance.observe(RateLimit.UNKNOWN, 0, 0);
