Note an era of the store also from an instance that has lost the store

Cause (found by reading the change again): what a followed instance knows is applied also when it has just lost the store. Only then the era was not noted, so that servers which the copy lacks were dropped at once, without the grace period in which they register again, and this instance did not register again itself.

Change: the era is noted where the knowledge of another instance is applied, whatever its age.

Test: PeerEraTest, with an age above the greatest one, failed before (0 servers instead of 1).

--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -240,7 +240,6 @@
                 storeProbe.cancel();
                 // Before the changes, so that servers that were removed in an outage are kept.
                 outage.recordSuccess(nowNanos);
-                observeEra(response.era(), nowNanos, outbox);
                 applyPeer((DiscoveryResponse.PeerChanges) response, isList, nowNanos, outbox);
             }
             case APPLY_OLD -> {
@@ -261,6 +260,7 @@
 
     private void applyPeer(
             DiscoveryResponse.PeerChanges peer, boolean isList, long nowNanos, Outbox outbox) {
+        observeEra(peer.era(), nowNanos, outbox);
         knownAsOfNanos = nowNanos - peer.ageMillis() * NANOS_PER_MILLI;
         boolean changed = false;
         for (Map.Entry<DiscoveryKind, DiscoveryResponse.Changes> news : peer.changes().entrySet()) {
