Log why a try lost its connection, with a digest that repetitions share

The decision line of kind lost has the failure, the time since the request was sent, and a digest of method, host, path with query, caller and body. The digest is computed only when a connection is lost; a streamed body is hashed as it passes. A call that is bound to other home regions is logged without its digest. No decision changes.

--- a/core/src/main/java/org/snipeslip/core/call/CallHead.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallHead.java
@@ -18,6 +18,7 @@
  * @param retriesLeft retries that the whole call tree may still use, or -1 if the caller stated no
  *     number
  * @param bodyReplayable whether the body is empty or small enough to be sent again
+ * @param identity computes the digest that repetitions of the request share
  */
 public record CallHead(
         String method,
@@ -29,4 +30,31 @@
         long remainingNanos,
         int depth,
         int retriesLeft,
-        boolean bodyReplayable) {}
+        boolean bodyReplayable,
+        RequestIdentity identity) {
+    /** Creates the head of a request that is never compared with others. */
+    public CallHead(
+            String method,
+            String host,
+            String path,
+            OrganisationId organisation,
+            IdempotencyKey idempotencyKey,
+            String fingerprint,
+            long remainingNanos,
+            int depth,
+            int retriesLeft,
+            boolean bodyReplayable) {
+        this(
+                method,
+                host,
+                path,
+                organisation,
+                idempotencyKey,
+                fingerprint,
+                remainingNanos,
+                depth,
+                retriesLeft,
+                bodyReplayable,
+                RequestIdentity.UNKNOWN);
+    }
+}
--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.RequestDigest;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.RouteId;
 import org.snipeslip.core.id.ServiceId;
@@ -17,6 +18,7 @@
  * @param chosen the selected backend server, or null if none was selected
  * @param refusal the refusal, or null if the call was not refused
  * @param candidates the backend servers considered, the chosen one first, at most 16
+ * @param loss how a try ended without a response, or null
  */
 public record DecisionRecord(
         RequestId request,
@@ -26,7 +28,8 @@
         int tryNumber,
         BackendServerId chosen,
         Refusal refusal,
-        List<Candidate> candidates) {
+        List<Candidate> candidates,
+        Loss loss) {
     /** Copies the list, except a {@link CandidateSnapshot}, which is no longer changed. */
     public DecisionRecord {
         if (!(candidates instanceof CandidateSnapshot)) {
@@ -34,6 +37,19 @@
         }
     }
 
+    /** Creates a record of a decision that is not about a lost try. */
+    public DecisionRecord(
+            RequestId request,
+            Kind kind,
+            RouteId route,
+            ServiceId service,
+            int tryNumber,
+            BackendServerId chosen,
+            Refusal refusal,
+            List<Candidate> candidates) {
+        this(request, kind, route, service, tryNumber, chosen, refusal, candidates, null);
+    }
+
     /** Type of a decision. */
     public enum Kind {
         /** The first try was sent. */
@@ -44,6 +60,8 @@
         HEDGED,
         /** The call was queued until a backend server has capacity. */
         QUEUED,
+        /** The connection of a try was lost after the request had been sent. */
+        LOST,
         /** The instance refused the call. */
         REFUSED
     }
@@ -66,6 +84,15 @@
         RATE_LIMITED
     }
 
+    /**
+     * How a try ended whose request may have run.
+     *
+     * @param failure kind of the failure
+     * @param afterNanos time from sending the request
+     * @param digest digest of the request, or null if it is not known or may not be kept here
+     */
+    public record Loss(TryFailure failure, long afterNanos, RequestDigest digest) {}
+
     /**
      * A backend server that was considered.
      *
--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecorder.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecorder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.RequestDigest;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Outbox;
@@ -31,6 +32,33 @@
         record(call, DecisionRecord.Kind.REFUSED, null, refusal, List.of(), outbox);
     }
 
+    /**
+     * Records that the connection of a try was lost.
+     *
+     * @param digest digest of the request, or null if it must not be kept here
+     */
+    void recordLost(
+            CallState call,
+            OpenTry lost,
+            TryFailure failure,
+            RequestDigest digest,
+            long nowNanos,
+            Outbox outbox) {
+        outbox.add(
+                new Action.RecordDecision(
+                        new DecisionRecord(
+                                call.request,
+                                DecisionRecord.Kind.LOST,
+                                call.route.id(),
+                                service,
+                                lost.id.number(),
+                                lost.serverId,
+                                null,
+                                List.of(),
+                                new DecisionRecord.Loss(
+                                        failure, nowNanos - lost.sentAtNanos, digest))));
+    }
+
     private void record(
             CallState call,
             DecisionRecord.Kind kind,
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -5,6 +5,7 @@
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.Service;
 import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.RequestDigest;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.id.TryId;
@@ -25,6 +26,7 @@
 
     private final ServiceId service;
     private final CallSettings settings;
+    private final InstanceLocation location;
     private final ServerPool pool;
     private final ServerFeedback feedback;
     private final ShardQueue queue;
@@ -46,6 +48,7 @@
             RandomGenerator random) {
         this.service = service;
         this.settings = settings;
+        this.location = location;
         this.pool = new ServerPool(settings, location, random);
         this.queue = new ShardQueue(settings, pool.serviceLoad(), random);
         this.retries = new ShardRetries(settings);
@@ -164,6 +167,9 @@
         }
         openTry.release();
         feedback.failed(openTry, failure, load, nowNanos, outbox);
+        if (failure.lostConnection()) {
+            decisions.recordLost(call, openTry, failure, digestToKeep(call), nowNanos, outbox);
+        }
         call.mayHaveStarted |= failure.mayHaveStarted();
         call.bytesSent |= failure.mayHaveSent();
         if (!failure.mayHaveSent()) {
@@ -306,6 +312,11 @@
         admission.enqueueOrRefuse(call, nowNanos, outbox);
     }
 
+    /** Returns the digest of a call, or null if it is unknown or must stay in its home regions. */
+    private RequestDigest digestToKeep(CallState call) {
+        return call.homeRegions.allows(location.region()) ? call.head.identity().digest() : null;
+    }
+
     private void retryOrRefuse(CallState call, long nowNanos, Outbox outbox) {
         if (retries.takeRetry(call, nowNanos)) {
             call.retriesLeft--;
--- a/core/src/main/java/org/snipeslip/core/call/TryFailure.java
+++ b/core/src/main/java/org/snipeslip/core/call/TryFailure.java
@@ -36,6 +36,15 @@
         return this != NOT_CONNECTED && this != NO_CONNECTION_LEFT;
     }
 
+    /**
+     * Returns whether the connection was lost while the request may have been running.
+     *
+     * @return true if the crash of the backend server is one of the possible causes
+     */
+    public boolean lostConnection() {
+        return this == BROKEN_BEFORE_HEAD || this == BROKEN_BODY;
+    }
+
     /**
      * Returns whether the backend server may have started the work.
      *
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -7,6 +7,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import org.snipeslip.core.call.LoadReport;
 import org.snipeslip.core.call.TryFailure;
@@ -184,8 +185,14 @@
                         .pump(
                                 clientExchange.getRequestChannel(),
                                 new BodyPump.Listener() {
+                                    @Override
+                                    public void beforeWrite(ByteBuffer bytes) {
+                                        relay.body().recordStreamed(bytes);
+                                    }
+
                                     @Override
                                     public void sourceEnded() {
+                                        relay.body().recordStreamEnd();
                                         relay.requestRead();
                                     }
 
--- a/server/src/main/java/org/snipeslip/server/http/CallHandler.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHandler.java
@@ -68,7 +68,7 @@
     private void startCall(
             HttpServerExchange exchange, RequestId request, CallerConnections.Entry caller) {
         RequestBody body = new RequestBody(exchange, bodyMemoryBudget, limits.get().maxBodyBytes());
-        CallHead head = CallHeadParser.parse(exchange, environment.dialect(), body.isReplayable());
+        CallHead head = CallHeadParser.parse(exchange, environment.dialect(), body);
         CallRelay relay = new CallRelay(request, exchange, head.depth(), body, environment);
         environment.metrics().callArrived();
         relay.watchCaller(caller);
--- a/server/src/main/java/org/snipeslip/server/http/CallHeadParser.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHeadParser.java
@@ -19,8 +19,7 @@
 
     private CallHeadParser() {}
 
-    static CallHead parse(
-            HttpServerExchange exchange, HttpDialect dialect, boolean bodyReplayable) {
+    static CallHead parse(HttpServerExchange exchange, HttpDialect dialect, RequestBody body) {
         HeaderMap headers = exchange.getRequestHeaders();
         boolean hasCallTree = dialect.propagatesCallTree();
         String organisation =
@@ -38,7 +37,8 @@
                 numericHeader(headers, dialect.deadlineMillis(), 0) * NANOS_PER_MILLI,
                 hasCallTree ? (int) numericHeader(headers, SnipeslipHeaders.DEPTH, 0) : 0,
                 hasCallTree ? (int) numericHeader(headers, SnipeslipHeaders.RETRIES_LEFT, -1) : -1,
-                bodyReplayable);
+                body.isReplayable(),
+                new HttpRequestIdentity(exchange, body));
     }
 
     /**
--- a/server/src/main/java/org/snipeslip/server/http/RequestBody.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestBody.java
@@ -8,6 +8,7 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.List;
 import org.xnio.channels.StreamSinkChannel;
@@ -27,6 +28,11 @@
     private ByteBuffer buffered;
     private ChunkedRequestBody chunked;
     private boolean bufferingStarted;
+
+    /** Digest of a body that is streamed, because its bytes are gone when it is needed. */
+    private MessageDigest streamDigest;
+
+    private boolean streamedWhole;
     private boolean streamed;
     private boolean released;
     private RequestFault fault;
@@ -100,6 +106,7 @@
             return new BodyPump(buffered.duplicate(), sink, listener);
         }
         streamed = true;
+        streamDigest = HttpRequestIdentity.newDigest();
         return new BodyPump(source(), sink, exchange.getConnection().getByteBufferPool(), listener);
     }
 
@@ -111,6 +118,40 @@
         return chunked;
     }
 
+    /** Called with each part of a streamed body before it is sent. */
+    void recordStreamed(ByteBuffer bytes) {
+        if (streamDigest != null) {
+            streamDigest.update(bytes.duplicate());
+        }
+    }
+
+    /** Called when a streamed body has been read to its end. */
+    void recordStreamEnd() {
+        streamedWhole = true;
+    }
+
+    /** Returns the digest of the body, or null if it has not been read to its end. */
+    byte[] digest() {
+        if (!present || bufferedBytes > 0) {
+            MessageDigest digest = HttpRequestIdentity.newDigest();
+            if (present && buffered == null) {
+                return null;
+            }
+            if (present) {
+                digest.update(buffered.duplicate());
+            }
+            return digest.digest();
+        }
+        if (streamDigest == null || !streamedWhole) {
+            return null;
+        }
+        try {
+            return ((MessageDigest) streamDigest.clone()).digest();
+        } catch (CloneNotSupportedException e) {
+            throw new IllegalStateException("the digest of a body cannot be copied", e);
+        }
+    }
+
     void recordFault(IOException e) {
         if (e instanceof RequestTooBigException) {
             fault = RequestFault.BODY_TOO_LARGE;
--- a/server/src/main/java/org/snipeslip/server/log/DecisionFields.java
+++ b/server/src/main/java/org/snipeslip/server/log/DecisionFields.java
@@ -29,6 +29,11 @@
             fields.put("reason", decision.refusal().reason().text());
             fields.put("outcome", decision.refusal().outcome().text());
         }
+        if (decision.loss() != null) {
+            fields.put("failure", text(decision.loss().failure()));
+            fields.put("afterNanos", decision.loss().afterNanos());
+            putText(fields, "digest", decision.loss().digest());
+        }
         List<Map<String, Object>> candidates = new ArrayList<>(decision.candidates().size());
         decision.candidates().forEach(candidate -> candidates.add(of(candidate)));
         fields.put("candidates", candidates);
