--- a/core/src/main/java/org/snipeslip/core/call/CallCompletion.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallCompletion.java
@@ -56,7 +56,8 @@
     static RefusalReason reasonOf(TryFailure failure) {
         return switch (failure) {
             case REFUSED_NOT_RUN -> RefusalReason.BACKEND_SERVER_REFUSED;
-            case NOT_CONNECTED, NO_CONNECTION_LEFT -> RefusalReason.BACKEND_SERVER_UNREACHABLE;
+            case NOT_CONNECTED, CONNECT_TIMED_OUT, NO_CONNECTION_LEFT ->
+                    RefusalReason.BACKEND_SERVER_UNREACHABLE;
             case TIMED_OUT -> RefusalReason.DEADLINE_EXCEEDED;
             default -> RefusalReason.BACKEND_SERVER_FAILED;
         };
--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -23,6 +23,8 @@
 import org.snipeslip.core.routing.HomeRegions;
 import org.snipeslip.core.routing.RouteTable;
 import org.snipeslip.core.routing.SplitChooser;
+import org.snipeslip.core.suspect.SuspectAnswer;
+import org.snipeslip.core.suspect.SuspectTable;
 
 /**
  * State machine of all calls of one instance. Matches an arriving call to a route, applies the
@@ -39,6 +41,7 @@
     private final InstanceLocation location;
     private final SplittableRandom random;
     private final ProbeBudget budget;
+    private final SuspectTable suspects;
     private final OpenCalls openCalls = new OpenCalls();
     private final ConcurrentHashMap<ServiceId, ServiceShard> shards = new ConcurrentHashMap<>();
     private final SplitChooser splitChooser;
@@ -55,6 +58,23 @@
      */
     public CallEngine(
             CallSettings settings, RegionId region, FailureDomainId failureDomain, long seed) {
+        this(settings, region, failureDomain, new SuspectTable(seed), seed);
+    }
+
+    /**
+     * Creates an engine with no configuration.
+     *
+     * @param failureDomain the failure domain of this instance, or null if unknown
+     * @param suspects the requests under which servers crashed
+     * @param seed seed of all random choices; equal seeds and events give equal decisions
+     */
+    public CallEngine(
+            CallSettings settings,
+            RegionId region,
+            FailureDomainId failureDomain,
+            SuspectTable suspects,
+            long seed) {
+        this.suspects = suspects;
         this.settings = settings;
         this.location = new InstanceLocation(region, failureDomain);
         this.random = new SplittableRandom(seed);
@@ -111,6 +131,20 @@
         }
     }
 
+    /**
+     * Continues a call after the answer of an instance of its home regions.
+     *
+     * @param answer whether the call may be sent
+     * @param nowNanos current time of the monotonic clock
+     * @param outbox receives the resulting actions
+     */
+    public void suspicionAnswered(SuspectAnswer answer, long nowNanos, Outbox outbox) {
+        ServiceShard shard = openCalls.shardOf(answer.request());
+        if (shard != null) {
+            shard.suspicionAnswered(answer, nowNanos, outbox);
+        }
+    }
+
     /**
      * Returns the number of calls that a shard accepted and that have no complete answer yet.
      *
@@ -163,6 +197,18 @@
                     shard.callerDisconnected(e.request(), nowNanos, outbox);
                 }
             }
+            case Event.RequestRead e when !suspects.isEmpty() -> {
+                ServiceShard shard = openCalls.shardOf(e.request());
+                if (shard != null) {
+                    shard.requestRead(e.request(), e.partlySent(), nowNanos, outbox);
+                }
+            }
+            case Event.ServerChecked e -> {
+                ServiceShard shard = shards.get(e.service());
+                if (shard != null) {
+                    shard.serverChecked(e.backendServer(), e.presence(), nowNanos, outbox);
+                }
+            }
             case Event.TimerFired e when e.timer().owner() == EngineName.CALL -> {
                 ServiceShard shard = shards.get(new ServiceId(e.timer().key()));
                 if (shard != null) {
@@ -190,7 +236,8 @@
 
     private ServiceShard newShard(ServiceId service) {
         ServiceShard shard =
-                new ServiceShard(service, settings, location, openCalls, budget, random.split());
+                new ServiceShard(
+                        service, settings, location, openCalls, budget, suspects, random.split());
         shard.setInstanceShare(instanceShare);
         return shard;
     }
--- a/core/src/main/java/org/snipeslip/core/call/CallState.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallState.java
@@ -6,8 +6,10 @@
 import org.snipeslip.core.config.Route;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.TryId;
+import org.snipeslip.core.idempotency.ClaimRequest;
 import org.snipeslip.core.retry.RetryRule;
 import org.snipeslip.core.routing.HomeRegions;
+import org.snipeslip.core.suspect.Verdict;
 
 /** One open call. Guarded by the lock of its {@link ServiceShard}. */
 final class CallState {
@@ -34,12 +36,30 @@
 
     int retriesLeft;
 
+    /** Tries whose connection was lost after the request had been sent. */
+    int lostTryCount;
+
+    /** The same tries while it is checked whether their servers crashed, or null. */
+    LostTries lostTries;
+
+    /** The highest level of suspicion that was known when a try was sent. */
+    int suspicionLevel;
+
     /** Whether a backend server may have started the work. */
     boolean mayHaveStarted;
 
     /** Whether any byte of the request may have reached a backend server. */
     boolean bytesSent;
 
+    /** Whether the call waits until it is known whether its request is suspected. */
+    boolean awaitsVerdict;
+
+    /** Whether as much of the body as fits into memory was read for this purpose. */
+    boolean readAhead;
+
+    /** What an instance of the home regions has told, or null if none was asked. */
+    Verdict toldVerdict;
+
     boolean awaitsClaim;
     boolean claimGranted;
     boolean claimEnded;
@@ -64,12 +84,24 @@
         this.idempotent = route.isIdempotent(head.method());
     }
 
+    ClaimRequest claimRequest() {
+        return new ClaimRequest(
+                request,
+                head.organisation(),
+                route.id(),
+                head.idempotencyKey(),
+                head.fingerprint(),
+                homeRegions,
+                deadlineNanos);
+    }
+
     boolean needsClaim() {
         return !idempotent && head.idempotencyKey() != null;
     }
 
     boolean mayBeHedged(long nowNanos) {
         return tries.size() == 1
+                && suspicionLevel == 0
                 && RetryRule.mayHedge(
                         idempotent, head.bodyReplayable(), retriesLeft, deadlineNanos - nowNanos);
     }
@@ -87,6 +119,13 @@
         return null;
     }
 
+    /** Returns the open try, or null if there is none or more than one. */
+    OpenTry onlyOpenTry() {
+        return openTryCount() == 1
+                ? tries.stream().filter(openTry -> openTry.open).findFirst().orElseThrow()
+                : null;
+    }
+
     int openTryCount() {
         int open = 0;
         for (OpenTry openTry : tries) {
--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
@@ -80,6 +80,8 @@
         AT_LIMIT,
         /** An earlier try of the call was sent to this server. */
         ALREADY_TRIED,
+        /** It runs a request that may crash it. */
+        RUNS_SUSPECT,
         /** The server names a rate limit, and this instance has used up its share of it. */
         RATE_LIMITED
     }
--- a/core/src/main/java/org/snipeslip/core/call/OpenTry.java
+++ b/core/src/main/java/org/snipeslip/core/call/OpenTry.java
@@ -11,6 +11,14 @@
     final long sentAtNanos;
     boolean open = true;
 
+    /** What was known of the request when it was sent. */
+    long suspicionEpoch;
+
+    int suspicionLevel;
+
+    /** Whether no other call of this instance may run on the server at the same time. */
+    private boolean alone;
+
     OpenTry(TryId id, ServerState server, long sentAtNanos) {
         this.id = id;
         this.server = server;
@@ -22,5 +30,14 @@
     void release() {
         open = false;
         server.load.ended();
+        if (alone) {
+            server.runsSuspect = false;
+        }
+    }
+
+    /** Keeps other calls of this instance away from the server while the try is open. */
+    void runAlone() {
+        alone = true;
+        server.runsSuspect = true;
     }
 }
--- a/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -26,6 +26,8 @@
     BACKEND_SERVER_REFUSED(503),
     /** No connection to a backend server could be opened. */
     BACKEND_SERVER_UNREACHABLE(503),
+    /** Backend servers crashed one after another while they ran the same request. */
+    CRASHES_BACKEND_SERVERS(503),
     /** A call with the same idempotency key is still running. */
     IN_PROGRESS(409),
     /** An earlier call with the same idempotency key may have run. */
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -354,7 +354,7 @@
             eligible.add(state.load);
             return;
         }
-        busy |= exclusion == Exclusion.AT_LIMIT;
+        busy |= exclusion == Exclusion.AT_LIMIT || exclusion == Exclusion.RUNS_SUSPECT;
         if (exclusion == Exclusion.RATE_LIMITED) {
             rateLimitWait.add(state.allowance.nextNanos(nowNanos));
         }
@@ -377,6 +377,9 @@
         if (call.wasTriedAt(state)) {
             return Exclusion.ALREADY_TRIED;
         }
+        if (state.runsSuspect) {
+            return Exclusion.RUNS_SUSPECT;
+        }
         if (!state.allowance.allows(nowNanos)) {
             return Exclusion.RATE_LIMITED;
         }
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -42,6 +42,9 @@
     boolean drainReported;
     boolean coldReported;
 
+    /** Whether it runs a request that may crash it, so that other calls are kept away. */
+    boolean runsSuspect;
+
     /** The calls that the server accepts from this instance while it names a rate limit. */
     final CallAllowance allowance;
 
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -10,11 +10,13 @@
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.idempotency.ClaimDecision;
-import org.snipeslip.core.idempotency.ClaimRequest;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Outbox;
 import org.snipeslip.core.instance.RecordableAnswer;
 import org.snipeslip.core.probe.ProbeBudget;
+import org.snipeslip.core.suspect.SuspectAnswer;
+import org.snipeslip.core.suspect.SuspectTable;
+import org.snipeslip.core.suspect.Verdict;
 
 /**
  * The calls and backend servers of one service. Every method for callers acquires the shard's own
@@ -25,8 +27,6 @@
     private static final int MAX_BLOCKED_FLOWS = 8;
 
     private final ServiceId service;
-    private final CallSettings settings;
-    private final InstanceLocation location;
     private final ServerPool pool;
     private final ServerFeedback feedback;
     private final ShardQueue queue;
@@ -38,6 +38,9 @@
     private final DecisionRecorder decisions;
     private final ShardAdmission admission;
     private final ShardCalls calls;
+    private final ShardSuspects suspects;
+    private final ShardSender sender;
+    private final ShardPlacer placer;
 
     ServiceShard(
             ServiceId service,
@@ -45,10 +48,9 @@
             InstanceLocation location,
             OpenCalls openCalls,
             ProbeBudget budget,
+            SuspectTable suspectTable,
             RandomGenerator random) {
         this.service = service;
-        this.settings = settings;
-        this.location = location;
         this.pool = new ServerPool(settings, location, random);
         this.queue = new ShardQueue(settings, pool.serviceLoad(), random);
         this.retries = new ShardRetries(settings);
@@ -59,6 +61,18 @@
         this.decisions = new DecisionRecorder(service);
         this.calls = new ShardCalls(openCalls, decisions);
         this.admission = new ShardAdmission(pool, queue, calls, decisions);
+        this.suspects = new ShardSuspects(service, location.region(), probes, suspectTable);
+        this.sender =
+                new ShardSender(
+                        service,
+                        settings,
+                        pool,
+                        feedback,
+                        hedgeQueue,
+                        decisions,
+                        suspects,
+                        admission);
+        this.placer = new ShardPlacer(pool, placements, probes, queue, retries, sender, admission);
     }
 
     synchronized void configure(
@@ -92,15 +106,7 @@
         retries.earnToken();
         if (call.needsClaim()) {
             call.awaitsClaim = true;
-            outbox.requestClaim(
-                    new ClaimRequest(
-                            call.request,
-                            call.head.organisation(),
-                            call.route.id(),
-                            call.head.idempotencyKey(),
-                            call.head.fingerprint(),
-                            call.homeRegions,
-                            call.deadlineNanos));
+            outbox.requestClaim(call.claimRequest());
         } else {
             admit(call, nowNanos, outbox);
         }
@@ -139,9 +145,10 @@
         }
         hedgeQueue.observe(nowNanos - openTry.sentAtNanos);
         feedback.answered(openTry, status, load, nowNanos, outbox);
+        suspects.answered(call, status, nowNanos, outbox);
         call.winner = openTry;
         outbox.add(new Action.RelayAnswer(tryId));
-        cancelOpenTries(call, nowNanos, outbox);
+        sender.cancelOpenTries(call, nowNanos, outbox);
         dispatchWaiting(nowNanos, outbox);
     }
 
@@ -168,7 +175,10 @@
         openTry.release();
         feedback.failed(openTry, failure, load, nowNanos, outbox);
         if (failure.lostConnection()) {
-            decisions.recordLost(call, openTry, failure, digestToKeep(call), nowNanos, outbox);
+            call.lostTryCount++;
+            RequestDigest digest = suspects.digestOf(call);
+            decisions.recordLost(call, openTry, failure, digest, nowNanos, outbox);
+            suspects.lost(call, openTry, nowNanos, outbox);
         }
         call.mayHaveStarted |= failure.mayHaveStarted();
         call.bytesSent |= failure.mayHaveSent();
@@ -185,6 +195,46 @@
         dispatchWaiting(nowNanos, outbox);
     }
 
+    /** Decides about a call whose digest is known only now, before its request is complete. */
+    synchronized void requestRead(
+            RequestId request, boolean partlySent, long nowNanos, Outbox outbox) {
+        CallState call = calls.get(request);
+        if (call != null && call.awaitsVerdict) {
+            readmit(call, nowNanos, outbox);
+            return;
+        }
+        OpenTry openTry = call == null ? null : call.onlyOpenTry();
+        if (openTry == null
+                || call.winner != null
+                || suspects.mayComplete(openTry, call, nowNanos)) {
+            return;
+        }
+        call.mayHaveStarted |= partlySent;
+        call.bytesSent |= partlySent;
+        sender.cancelOpenTries(call, nowNanos, outbox);
+        admission.refuseSuspect(call, suspects.verdict(call, nowNanos), outbox);
+        dispatchWaiting(nowNanos, outbox);
+    }
+
+    synchronized void suspicionAnswered(SuspectAnswer answer, long nowNanos, Outbox outbox) {
+        CallState call = calls.get(answer.request());
+        if (call != null && call.awaitsVerdict) {
+            call.toldVerdict = answer.verdict();
+            readmit(call, nowNanos, outbox);
+        }
+    }
+
+    private void readmit(CallState call, long nowNanos, Outbox outbox) {
+        call.awaitsVerdict = false;
+        admit(call, nowNanos, outbox);
+        dispatchWaiting(nowNanos, outbox);
+    }
+
+    synchronized void serverChecked(
+            BackendServerId id, ServerPresence presence, long nowNanos, Outbox outbox) {
+        suspects.checked(id, presence, nowNanos, outbox);
+    }
+
     synchronized void callerDisconnected(RequestId request, long nowNanos, Outbox outbox) {
         CallState call = calls.get(request);
         if (call == null) {
@@ -197,7 +247,7 @@
         }
         call.mayHaveStarted |= call.openTryCount() > 0;
         call.winner = null;
-        cancelOpenTries(call, nowNanos, outbox);
+        sender.cancelOpenTries(call, nowNanos, outbox);
         queue.remove(call);
         placements.remove(call);
         calls.end(call);
@@ -212,7 +262,7 @@
             call.bytesSent |= call.openTryCount() > 0;
             boolean relayed = call.winner != null;
             call.winner = null;
-            cancelOpenTries(call, nowNanos, outbox);
+            sender.cancelOpenTries(call, nowNanos, outbox);
             queue.remove(call);
             if (relayed) {
                 calls.end(call);
@@ -230,7 +280,7 @@
         }
         CallState dueCall;
         while ((dueCall = hedgeQueue.pollDue(nowNanos)) != null) {
-            hedge(dueCall, nowNanos, outbox);
+            placer.hedge(dueCall, nowNanos, outbox);
         }
         probes.timerFired(nowNanos, outbox);
         decidePlacement(placements.takeDue(nowNanos), nowNanos, outbox);
@@ -258,38 +308,7 @@
 
     private void decidePlacement(
             List<PendingPlacements.Placement> decidable, long nowNanos, Outbox outbox) {
-        decidable.forEach(placement -> decidePlacement(placement, nowNanos, outbox));
-    }
-
-    /**
-     * Decides about a call whose probes have ended: sends, queues or refuses it, or probes servers
-     * of other regions. A hedge that finds no free slot is not sent.
-     */
-    private void decidePlacement(
-            PendingPlacements.Placement placement, long nowNanos, Outbox outbox) {
-        CallState call = placement.call;
-        if (call.isAnsweredOrEnded()) {
-            return;
-        }
-        ServerState chosen = pool.choose(call, nowNanos);
-        boolean freeSlot = chosen != null && chosen.load.hasFreeSlot(nowNanos);
-        boolean soonEnough = freeSlot || chosen != null && pool.meetsTarget(call, nowNanos);
-        if (!soonEnough
-                && placements.probeOtherRegions(placement, probes.path(), nowNanos, outbox)) {
-            return;
-        }
-        if (placement.hedge) {
-            if (freeSlot && retries.mayHedge(call, nowNanos) && retries.takeHedge()) {
-                call.retriesLeft--;
-                send(call, chosen, true, nowNanos, outbox);
-            }
-        } else if (chosen == null) {
-            admission.enqueueOrRefuse(call, nowNanos, outbox);
-        } else if (pool.isTooSlow(call, freeSlot, nowNanos)) {
-            admission.refuseOverloaded(call, outbox);
-        } else {
-            send(call, chosen, false, nowNanos, outbox);
-        }
+        decidable.forEach(placement -> placer.decide(placement, nowNanos, outbox));
     }
 
     /** Sends, queues or refuses a call, or starts probing for it. */
@@ -298,6 +317,13 @@
             calls.refuse(call, RefusalReason.DEADLINE_EXCEEDED, 0, outbox);
             return;
         }
+        if (suspects.defer(call, nowNanos, outbox)) {
+            return;
+        }
+        if (suspects.verdict(call, nowNanos) instanceof Verdict.Refuse refuse) {
+            admission.refuseSuspect(call, refuse, outbox);
+            return;
+        }
         if (pool.probesEachCall()
                 && placements.start(call, false, probes.path(), nowNanos, outbox)) {
             return;
@@ -305,20 +331,15 @@
         if (queue.isEmpty()) {
             ServerState chosen = pool.choose(call, nowNanos);
             if (chosen != null) {
-                send(call, chosen, false, nowNanos, outbox);
+                sender.send(call, chosen, false, nowNanos, outbox);
                 return;
             }
         }
         admission.enqueueOrRefuse(call, nowNanos, outbox);
     }
 
-    /** Returns the digest of a call, or null if it is unknown or must stay in its home regions. */
-    private RequestDigest digestToKeep(CallState call) {
-        return call.homeRegions.allows(location.region()) ? call.head.identity().digest() : null;
-    }
-
     private void retryOrRefuse(CallState call, long nowNanos, Outbox outbox) {
-        if (retries.takeRetry(call, nowNanos)) {
+        if (suspects.mayRepeat(call, nowNanos) && retries.takeRetry(call, nowNanos)) {
             call.retriesLeft--;
             admit(call, nowNanos, outbox);
         } else {
@@ -326,47 +347,6 @@
         }
     }
 
-    private void hedge(CallState call, long nowNanos, Outbox outbox) {
-        if (!queue.isEmpty() || !retries.mayHedge(call, nowNanos)) {
-            return;
-        }
-        if (pool.probesEachCall()) {
-            placements.start(call, true, probes.path(), nowNanos, outbox);
-            return;
-        }
-        ServerState chosen = pool.choose(call, nowNanos);
-        if (chosen != null && chosen.load.hasFreeSlot(nowNanos) && retries.takeHedge()) {
-            call.retriesLeft--;
-            send(call, chosen, true, nowNanos, outbox);
-        }
-    }
-
-    private void send(
-            CallState call, ServerState chosen, boolean hedge, long nowNanos, Outbox outbox) {
-        List<DecisionRecord.Candidate> candidates = pool.snapshot(nowNanos);
-        TryId id = new TryId(call.request, call.tries.size() + 1);
-        call.tries.add(new OpenTry(id, chosen, nowNanos));
-        feedback.sent(chosen, nowNanos);
-        outbox.add(
-                new Action.SendTry(
-                        id,
-                        service,
-                        chosen.server,
-                        call.deadlineNanos - nowNanos,
-                        Math.max(0, call.retriesLeft),
-                        call.claimGranted));
-        DecisionRecord.Kind kind =
-                hedge
-                        ? DecisionRecord.Kind.HEDGED
-                        : id.number() == 1
-                                ? DecisionRecord.Kind.ROUTED
-                                : DecisionRecord.Kind.RETRIED;
-        decisions.recordSent(call, kind, chosen.server.id(), candidates, outbox);
-        if (settings.hedging() && pool.isAdaptive() && call.mayBeHedged(nowNanos)) {
-            hedgeQueue.add(call, nowNanos);
-        }
-    }
-
     /** Sends queued calls while servers have room, and sets the timer to the next due time. */
     private void dispatchWaiting(long nowNanos, Outbox outbox) {
         queue.beginRound();
@@ -380,7 +360,7 @@
             ServerState chosen = pool.choose(call, nowNanos);
             if (chosen != null) {
                 queue.dequeue(call, nowNanos);
-                send(call, chosen, false, nowNanos, outbox);
+                sender.send(call, chosen, false, nowNanos, outbox);
             } else if (pool.isBusy()) {
                 queue.block(call);
                 // If a call that may use every server finds no room, no other call does.
@@ -395,15 +375,4 @@
         dueNanos = Math.min(dueNanos, placements.nextDueNanos());
         timer.scheduleBy(Math.min(dueNanos, hedgeQueue.nextDueNanos()), nowNanos, outbox);
     }
-
-    /** Cancels the open tries, except the one whose response is being relayed. */
-    private void cancelOpenTries(CallState call, long nowNanos, Outbox outbox) {
-        for (OpenTry openTry : call.tries) {
-            if (openTry.open && openTry != call.winner) {
-                outbox.add(new Action.CancelTry(openTry.id));
-                openTry.release();
-                feedback.cancelled(openTry, nowNanos);
-            }
-        }
-    }
 }
--- a/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
@@ -1,6 +1,7 @@
 package org.snipeslip.core.call;
 
 import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.suspect.Verdict;
 
 /** Queues or refuses calls of one service that cannot be sent. Guarded by the shard's lock. */
 final class ShardAdmission {
@@ -50,6 +51,16 @@
         calls.refuse(call, RefusalReason.OVERLOADED, pool.retryAfterMillis(), outbox);
     }
 
+    /** Refuses a call whose request crashes servers, or must wait until a server is idle. */
+    void refuseSuspect(CallState call, Verdict verdict, Outbox outbox) {
+        if (verdict instanceof Verdict.Refuse refuse) {
+            RefusalReason reason = RefusalReason.CRASHES_BACKEND_SERVERS;
+            calls.refuse(call, reason, refuse.retryAfterMillis(), outbox);
+        } else {
+            refuseOverloaded(call, outbox);
+        }
+    }
+
     void refuseExpired(long nowNanos, Outbox outbox) {
         queue.removeExpired(nowNanos).forEach(dropped -> refuseDropped(dropped, outbox));
     }
--- a/core/src/main/java/org/snipeslip/core/call/TryFailure.java
+++ b/core/src/main/java/org/snipeslip/core/call/TryFailure.java
@@ -4,6 +4,8 @@
 public enum TryFailure {
     /** No connection could be opened, so no byte was sent. */
     NOT_CONNECTED(false),
+    /** No connection was opened in time, so no byte was sent. */
+    CONNECT_TIMED_OUT(false),
     /** All connections of this instance to the backend server were in use; no byte was sent. */
     NO_CONNECTION_LEFT(false),
     /** The backend server refused the call before the work started. */
@@ -33,7 +35,7 @@
      * @return false if there was no connection
      */
     public boolean mayHaveSent() {
-        return this != NOT_CONNECTED && this != NO_CONNECTION_LEFT;
+        return this != NOT_CONNECTED && this != CONNECT_TIMED_OUT && this != NO_CONNECTION_LEFT;
     }
 
     /**
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -1,5 +1,6 @@
 package org.snipeslip.core.discovery;
 
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.snipeslip.core.call.InstanceShare;
@@ -8,6 +9,7 @@
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Outbox;
 import org.snipeslip.core.instance.TimerId;
+import org.snipeslip.core.suspect.SuspectPeer;
 
 /**
  * Keeps copies of the configuration, servers and evacuations in the store and publishes a new
@@ -79,6 +81,15 @@
         return registry.share();
     }
 
+    /**
+     * Returns the other instances that can be reached, as far as they are known.
+     *
+     * @return instances with an address
+     */
+    public synchronized List<SuspectPeer> otherInstances() {
+        return settings.peers() == null ? List.of() : registry.others();
+    }
+
     /**
      * Returns the configuration in force.
      *
--- a/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
@@ -7,6 +7,8 @@
 import java.util.TreeMap;
 import org.snipeslip.core.call.InstanceShare;
 import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.suspect.SuspectPeer;
 
 /**
  * Registers this instance in the store and reads the list of all instances. Entries of stopped
@@ -157,6 +159,20 @@
                 .toList();
     }
 
+    /** Returns the other instances that have an address and a region. */
+    List<SuspectPeer> others() {
+        return instances.values().stream()
+                .filter(each -> !each.peerAddress().isEmpty() && !each.region().isEmpty())
+                .filter(each -> !each.instance().equals(settings.instance()))
+                .map(
+                        each ->
+                                new SuspectPeer(
+                                        each.instance().value(),
+                                        new RegionId(each.region()),
+                                        each.peerAddress()))
+                .toList();
+    }
+
     private void replaceInstances(long nowNanos) {
         if (nowNanos >= keepMissingUntilNanos) {
             instances.clear();
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -7,6 +7,7 @@
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.InstanceId;
+import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.id.TryId;
@@ -15,6 +16,9 @@
 import org.snipeslip.core.ratelimit.RateLimit;
 import org.snipeslip.core.store.StoreCallId;
 import org.snipeslip.core.store.StoreRequest;
+import org.snipeslip.core.suspect.SuspectChange;
+import org.snipeslip.core.suspect.SuspectMessage;
+import org.snipeslip.core.suspect.SuspectQuestion;
 
 /** An effect that the runtime must execute on behalf of the state machine. */
 public sealed interface Action {
@@ -163,4 +167,59 @@
      * @param era the era that a response has shown
      */
     record StoreRestored(long eraBefore, long era) implements Action {}
+
+    /**
+     * Checks whether a backend server is still running, on a connection of its own; the result is
+     * reported as {@link Event.ServerChecked}.
+     *
+     * @param service the service
+     * @param target the backend server
+     * @param path path of a probe request
+     */
+    record CheckServer(ServiceId service, BackendServer target, String path) implements Action {}
+
+    /**
+     * Reports a change of what is believed about a request that may crash servers, for the log.
+     *
+     * @param change the change
+     */
+    record SuspicionChanged(SuspectChange change) implements Action {}
+
+    /**
+     * Sends a message about a suspected request to another instance; the result is reported as
+     * {@link Event.SuspectMessageSent}.
+     *
+     * @param address address of the instance, IP:PORT
+     * @param message the message
+     * @param sends how often it has been sent, this time included
+     */
+    record SendSuspectMessage(String address, SuspectMessage message, int sends)
+            implements Action {}
+
+    /**
+     * Asks another instance for the suspected requests that it knows of; they are reported as
+     * {@link Event.SuspicionsPulled}.
+     *
+     * @param address address of the instance, IP:PORT
+     * @param region region of this instance
+     */
+    record PullSuspicions(String address, RegionId region) implements Action {}
+
+    /**
+     * Reads the request of a call as far as it fits into memory, before it is sent anywhere; the
+     * end is reported as {@link Event.RequestRead}.
+     *
+     * @param request the call
+     */
+    record ReadRequest(RequestId request) implements Action {}
+
+    /**
+     * Asks an instance of the home regions about a request; the answer is reported as {@link
+     * Event.SuspicionAnswered}.
+     *
+     * @param address address of the instance, IP:PORT
+     * @param question the question
+     * @param asks how many instances were asked, this one included
+     */
+    record AskSuspicion(String address, SuspectQuestion question, int asks) implements Action {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -14,6 +14,14 @@
 import org.snipeslip.core.discovery.StoreRevision;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.id.RequestDigest;
+import org.snipeslip.core.suspect.SuspectAnswer;
+import org.snipeslip.core.suspect.SuspectChange;
+import org.snipeslip.core.suspect.SuspectMessage;
+import org.snipeslip.core.suspect.SuspectQuestion;
+import org.snipeslip.core.suspect.SuspectSharing;
+import org.snipeslip.core.suspect.SuspectTable;
+import org.snipeslip.core.suspect.Verdict;
 
 /**
  * The state machine of an instance whose configuration and backend servers are discovered from a
@@ -23,6 +31,8 @@
 public final class DiscoveryInstance implements StateMachine {
     private final CallEngine calls;
     private final DiscoveryEngine discovery;
+    private final SuspectTable suspects;
+    private final SuspectSharing sharing;
     private final StopSequence stop;
     private volatile ConfigSet inForce = ConfigSet.EMPTY;
     private volatile InstanceShare share;
@@ -44,7 +54,9 @@
             FailureDomainId failureDomain,
             StopSettings stopSettings,
             long seed) {
-        this.calls = new CallEngine(call, region, failureDomain, seed);
+        this.suspects = new SuspectTable(seed + 2);
+        this.sharing = new SuspectSharing(settings.instance(), region, suspects, seed + 3);
+        this.calls = new CallEngine(call, region, failureDomain, suspects, seed);
         this.discovery = new DiscoveryEngine(settings, seed + 1);
         this.stop = new StopSequence(stopSettings);
     }
@@ -57,6 +69,15 @@
         while ((message = outbox.pollEngineMessage()) != null) {
             if (message instanceof Action.ConfigAdopted adopted) {
                 adopt(adopted.config(), nowNanos, outbox);
+            } else if (message instanceof Action.SuspicionChanged changed
+                    && changed.change().source() != SuspectChange.Source.INSTANCE) {
+                sharing.share(changed.change(), nowNanos, outbox);
+            } else if (message instanceof SuspectChange foreign) {
+                sharing.share(foreign, nowNanos, outbox);
+            } else if (message instanceof SuspectQuestion question) {
+                sharing.ask(question, outbox);
+            } else if (message instanceof SuspectAnswer answer) {
+                calls.suspicionAnswered(answer, nowNanos, outbox);
             }
         }
         if (stop.isStopping() && stop.finishIfDone(true, calls::openCalls)) {
@@ -98,6 +119,45 @@
         return new PeerAnswer(response, outbox.actions());
     }
 
+    /**
+     * Returns what another instance has to know about suspected requests.
+     *
+     * @param region region of the other instance
+     * @return notices and alerts
+     */
+    public List<SuspectMessage> suspicionsFor(RegionId region) {
+        return sharing.messagesFor(region);
+    }
+
+    /**
+     * Decides about a request for an instance outside its home regions.
+     *
+     * @param digest identifies the request
+     * @param nowNanos the current time
+     * @return whether it may be sent
+     */
+    public Verdict verdictOn(RequestDigest digest, long nowNanos) {
+        return suspects.verdict(digest, nowNanos);
+    }
+
+    /**
+     * Returns how many other instances are known.
+     *
+     * @return instances with an address
+     */
+    public int otherInstanceCount() {
+        return discovery.otherInstances().size();
+    }
+
+    /**
+     * Returns how many requests are or were under suspicion.
+     *
+     * @return entries of the table
+     */
+    public int suspectCount() {
+        return suspects.size();
+    }
+
     /**
      * Returns whether changes are heard from another instance.
      *
@@ -118,7 +178,17 @@
 
     private void dispatch(Event event, long nowNanos, Outbox outbox) {
         switch (event) {
-            case Event.Started e -> discovery.handle(e, nowNanos, outbox);
+            case Event.Started e -> {
+                discovery.handle(e, nowNanos, outbox);
+                sharing.start(nowNanos, outbox);
+            }
+            case Event.SuspectMessageReceived e -> sharing.received(e.message(), nowNanos, outbox);
+            case Event.SuspectMessageSent e ->
+                    sharing.sendEnded(e.sent(), e.delivered(), nowNanos, outbox);
+            case Event.SuspicionsPulled e -> sharing.pulled(e.messages(), nowNanos, outbox);
+            case Event.SuspicionAnswered e -> sharing.askEnded(e.asked(), e.verdict(), outbox);
+            case Event.TimerFired e when e.timer().owner() == EngineName.SUSPECTS ->
+                    sharing.timerFired(nowNanos, outbox);
             case Event.DiscoveryResponded e -> {
                 discovery.handle(e, nowNanos, outbox);
                 updateShare();
@@ -145,6 +215,7 @@
             share = next;
             calls.setInstanceShare(next);
         }
+        sharing.setPeers(discovery.otherInstances());
     }
 
     private synchronized void adopt(ConfigSet config, long nowNanos, Outbox outbox) {
--- a/core/src/main/java/org/snipeslip/core/instance/EngineName.java
+++ b/core/src/main/java/org/snipeslip/core/instance/EngineName.java
@@ -8,6 +8,8 @@
     CONTROL,
     /** At-most-once claims. */
     IDEMPOTENCY,
+    /** What instances tell one another about suspected requests. */
+    SUSPECTS,
     /** The instance as a whole: start and stop. */
     INSTANCE
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Event.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Event.java
@@ -1,7 +1,9 @@
 package org.snipeslip.core.instance;
 
+import java.util.List;
 import org.snipeslip.core.call.CallHead;
 import org.snipeslip.core.call.LoadReport;
+import org.snipeslip.core.call.ServerPresence;
 import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
@@ -13,6 +15,8 @@
 import org.snipeslip.core.peer.PeerMessage;
 import org.snipeslip.core.store.StoreAnswer;
 import org.snipeslip.core.store.StoreCallId;
+import org.snipeslip.core.suspect.SuspectMessage;
+import org.snipeslip.core.suspect.Verdict;
 
 /** An input of the state machine: something that happened outside of it. */
 public sealed interface Event {
@@ -114,4 +118,53 @@
      */
     record DiscoveryResponded(DiscoveryRequest request, DiscoveryResponse response)
             implements Event {}
+
+    /**
+     * The request of a call has been read to its end, so that its digest is known, and its last
+     * bytes have not been sent; or as far as {@link Action.ReadRequest} demands.
+     *
+     * @param request the call
+     * @param partlySent whether a part of the request may have reached a backend server
+     */
+    record RequestRead(RequestId request, boolean partlySent) implements Event {}
+
+    /**
+     * A check of a backend server ended.
+     *
+     * @param service the service
+     * @param backendServer the backend server
+     * @param presence what the check has shown
+     */
+    record ServerChecked(ServiceId service, BackendServerId backendServer, ServerPresence presence)
+            implements Event {}
+
+    /**
+     * A message about a suspected request was received from another instance.
+     *
+     * @param message the message
+     */
+    record SuspectMessageReceived(SuspectMessage message) implements Event {}
+
+    /**
+     * A message about a suspected request was delivered, or could not be.
+     *
+     * @param sent the message
+     * @param delivered whether the other instance has confirmed it
+     */
+    record SuspectMessageSent(Action.SendSuspectMessage sent, boolean delivered) implements Event {}
+
+    /**
+     * Another instance has told which suspected requests it knows of.
+     *
+     * @param messages what it knows
+     */
+    record SuspicionsPulled(List<SuspectMessage> messages) implements Event {}
+
+    /**
+     * An instance of the home regions has answered a question about a request.
+     *
+     * @param asked the question
+     * @param verdict the answer, or null if there was none in time
+     */
+    record SuspicionAnswered(Action.AskSuspicion asked, Verdict verdict) implements Event {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -13,6 +13,7 @@
 import org.snipeslip.core.membership.MemberView;
 import org.snipeslip.core.peer.ClaimMessage;
 import org.snipeslip.core.store.StoreCallLimiter;
+import org.snipeslip.core.suspect.SuspectChange;
 
 /**
  * The state machine of one instance with peers: handles events and returns the resulting actions,
@@ -124,6 +125,8 @@
             case Event.CallerDisconnected e -> calls.handle(e, nowNanos, outbox);
             case Event.ProbeAnswered e -> calls.handle(e, nowNanos, outbox);
             case Event.ProbeFailed e -> calls.handle(e, nowNanos, outbox);
+            case Event.RequestRead e -> calls.handle(e, nowNanos, outbox);
+            case Event.ServerChecked e -> calls.handle(e, nowNanos, outbox);
             case Event.Started e -> {
                 outbox.add(membershipDelay.start());
                 control.handle(e, nowNanos, outbox);
@@ -138,6 +141,18 @@
             case Event.DiscoveryResponded e -> {
                 // Occurs only in DiscoveryInstance.
             }
+            case Event.SuspectMessageReceived e -> {
+                // Occurs only in DiscoveryInstance.
+            }
+            case Event.SuspectMessageSent e -> {
+                // Occurs only in DiscoveryInstance.
+            }
+            case Event.SuspicionsPulled e -> {
+                // Occurs only in DiscoveryInstance.
+            }
+            case Event.SuspicionAnswered e -> {
+                // Occurs only in DiscoveryInstance.
+            }
             case Event.StopRequested e -> {
                 stop.request(outbox);
                 control.handle(e, nowNanos, outbox);
@@ -172,6 +187,12 @@
             case ClaimDecision decision -> calls.claimDecided(decision, nowNanos, outbox);
             case MemberView view -> updateMembers(membershipDelay.filter(view), nowNanos, outbox);
             case Action.ConfigAdopted adopted -> adopt(adopted.config(), nowNanos, outbox);
+            case Action.SuspicionChanged changed -> {
+                // The instance acts on what its own calls have shown; others are not told.
+            }
+            case SuspectChange foreign -> {
+                // The same; a call outside its home regions does not arrive here.
+            }
             default ->
                     throw new IllegalStateException(
                             "no engine handles messages of " + message.getClass().getName());
--- a/core/src/main/java/org/snipeslip/core/instance/Outbox.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Outbox.java
@@ -8,6 +8,9 @@
 import org.snipeslip.core.idempotency.ClaimEnd;
 import org.snipeslip.core.idempotency.ClaimRequest;
 import org.snipeslip.core.membership.MemberView;
+import org.snipeslip.core.suspect.SuspectAnswer;
+import org.snipeslip.core.suspect.SuspectChange;
+import org.snipeslip.core.suspect.SuspectQuestion;
 
 /**
  * Collects the results of one event: actions for the runtime, and messages that {@link Instance}
@@ -19,14 +22,14 @@
     private boolean storeCalls;
 
     /**
-     * Adds an action for the runtime; a {@link Action.ConfigAdopted} is also delivered to the
-     * engines.
+     * Adds an action for the runtime; {@link Action.ConfigAdopted} and {@link
+     * Action.SuspicionChanged} are also delivered to the engines.
      *
      * @param action the action
      */
     public void add(Action action) {
         actions.add(action);
-        if (action instanceof Action.ConfigAdopted) {
+        if (action instanceof Action.ConfigAdopted || action instanceof Action.SuspicionChanged) {
             addEngineMessage(action);
         } else if (action instanceof Action.CallStore) {
             storeCalls = true;
@@ -60,6 +63,33 @@
         addEngineMessage(decision);
     }
 
+    /**
+     * Reports what a call has shown about a request that this instance may not remember.
+     *
+     * @param change the change, which must not be logged here
+     */
+    public void reportForeignSuspicion(SuspectChange change) {
+        addEngineMessage(change);
+    }
+
+    /**
+     * Asks instances of the home regions about a request.
+     *
+     * @param question the question
+     */
+    public void askSuspicion(SuspectQuestion question) {
+        addEngineMessage(question);
+    }
+
+    /**
+     * Reports the answer to such a question to the call engine.
+     *
+     * @param answer the answer
+     */
+    public void reportVerdict(SuspectAnswer answer) {
+        addEngineMessage(answer);
+    }
+
     /**
      * Reports a change of the members to the other engines.
      *
--- a/server/src/main/java/org/snipeslip/server/http/BackendConnectionPool.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendConnectionPool.java
@@ -115,6 +115,14 @@
                         });
     }
 
+    /**
+     * Opens a new connection, because an idle one does not show whether the server still listens;
+     * calls the listener on the I/O thread.
+     */
+    void open(BackendServer server, XnioIoThread ioThread, Listener listener) {
+        connectAfterEviction(server, ioThread, listener);
+    }
+
     /**
      * Reports that a request was sent, or that a head or a part of a body was received. A
      * connection with many bytes in between is broken.
@@ -241,7 +249,7 @@
 
         private void onTimeout() {
             if (markEnded()) {
-                listener.failed(TryFailure.NOT_CONNECTED);
+                listener.failed(TryFailure.CONNECT_TIMED_OUT);
             }
         }
 
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -138,6 +138,12 @@
         if (relay.exchange().isRequestComplete()) {
             relay.requestRead();
         }
+        if (relay.body().isBuffered()) {
+            relay.requestIdentified(false);
+            if (ended) {
+                return;
+            }
+        }
         connections.acquire(
                 action.target(),
                 relay.exchange().getIoThread(),
@@ -188,11 +194,15 @@
                                     @Override
                                     public void beforeWrite(ByteBuffer bytes) {
                                         relay.body().recordStreamed(bytes);
+                                        if (relay.body().isStreamedWhole()) {
+                                            relay.requestIdentified(true);
+                                        }
                                     }
 
                                     @Override
                                     public void sourceEnded() {
                                         relay.body().recordStreamEnd();
+                                        relay.requestIdentified(true);
                                         relay.requestRead();
                                     }
 
--- a/server/src/main/java/org/snipeslip/server/http/CallRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallRelay.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.snipeslip.core.call.Refusal;
+import org.snipeslip.core.call.RefusalReason;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.instance.Action;
@@ -27,6 +28,7 @@
     private final long arrivedNanos = System.nanoTime();
     private final Map<TryId, BackendTry> tries = new HashMap<>(2);
     private boolean requestRead;
+    private boolean identified;
     private boolean ended;
     private long serverNanos;
 
@@ -61,6 +63,7 @@
             case Action.SendTry send -> startTry(send);
             case Action.CancelTry cancel -> cancelTry(cancel.tryId());
             case Action.RelayAnswer answer -> relayResponse(answer.tryId());
+            case Action.ReadRequest read -> readRequest();
             case Action.RefuseCaller refuse -> refuse(refuse.refusal());
             case Action.ReplayAnswer replay -> replay(replay.answer());
             default ->
@@ -109,6 +112,18 @@
         }
     }
 
+    /**
+     * Reports that the digest of a request with a body is known now.
+     *
+     * @param partlySent whether a part of the request may have reached a backend server
+     */
+    void requestIdentified(boolean partlySent) {
+        if (!identified && !ended) {
+            identified = true;
+            report(new Event.RequestRead(request, partlySent));
+        }
+    }
+
     /** Adds the header fields that every response carries, just before the response is sent. */
     void completeResponseHead() {
         // If the backend server responds early, the last bytes of the request may have been read
@@ -153,6 +168,31 @@
         }
     }
 
+    private void readRequest() {
+        body.readAhead(
+                new RequestBody.Listener() {
+                    @Override
+                    public void ready() {
+                        report(new Event.RequestRead(request, false));
+                    }
+
+                    @Override
+                    public void failed() {
+                        if (body.fault() == null) {
+                            callerDisconnected();
+                        } else {
+                            report(new Event.CallerDisconnected(request));
+                            refuse(Refusal.notRun(RefusalReason.OVERLOADED));
+                        }
+                    }
+
+                    @Override
+                    public void alreadyStreamed() {
+                        throw new IllegalStateException("no try has been sent yet: " + request);
+                    }
+                });
+    }
+
     private void startTry(Action.SendTry action) {
         if (ended || tries.containsKey(action.tryId())) {
             return;
--- a/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
@@ -10,7 +10,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.snipeslip.core.call.LoadReport;
+import org.snipeslip.core.call.ServerPresence;
 import org.snipeslip.core.call.TryFailure;
+import org.snipeslip.core.id.BackendServerId;
+import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
 import org.xnio.XnioExecutor;
@@ -67,27 +70,52 @@
      */
     public void send(Action.SendProbe action) {
         if (Thread.currentThread() == ioThread) {
-            new Probe(action).start();
+            new Probe(action, false).start();
         } else {
-            ioThread.execute(() -> new Probe(action).start());
+            ioThread.execute(() -> new Probe(action, false).start());
         }
     }
 
+    /**
+     * Checks whether a server is running. May be called on any thread; the result is reported on
+     * the I/O thread as {@link Event.ServerChecked}.
+     *
+     * @param action server and path to check it with
+     */
+    public void check(Action.CheckServer action) {
+        Action.SendProbe probe =
+                new Action.SendProbe(action.service(), action.target(), action.path());
+        ioThread.execute(() -> new Probe(probe, true).start());
+    }
+
     /** One probe, which reports exactly one event. */
     private final class Probe
             implements BackendConnectionPool.Listener, SimpleHttpExchange.Listener {
         private final Action.SendProbe action;
+
+        /** Whether only the presence of the server is of interest. */
+        private final boolean check;
+
         private XnioExecutor.Key timeout;
         private ClientConnection connection;
         private boolean ended;
 
-        Probe(Action.SendProbe action) {
+        Probe(Action.SendProbe action, boolean check) {
             this.action = action;
+            this.check = check;
         }
 
         void start() {
-            timeout = ioThread.executeAfter(this::fail, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-            connections.acquire(action.target(), ioThread, this);
+            timeout =
+                    ioThread.executeAfter(
+                            () -> fail(ServerPresence.UNKNOWN),
+                            TIMEOUT_MILLIS,
+                            TimeUnit.MILLISECONDS);
+            if (check) {
+                connections.open(action.target(), ioThread, this);
+            } else {
+                connections.acquire(action.target(), ioThread, this);
+            }
         }
 
         @Override
@@ -106,12 +134,15 @@
 
         @Override
         public void failed(TryFailure failure) {
-            fail();
+            fail(
+                    failure == TryFailure.NOT_CONNECTED
+                            ? ServerPresence.GONE
+                            : ServerPresence.UNKNOWN);
         }
 
         @Override
         public void failed(IOException e) {
-            fail();
+            fail(ServerPresence.UNKNOWN);
         }
 
         @Override
@@ -120,8 +151,11 @@
             String loadValue = headers.getFirst(dialect.load());
             LoadReport load = dialect.readLoad(headers);
             boolean ok = response.getResponseCode() == OK;
-            if (!load.isKnown() || !isFromTarget(headers) || !ok && dialect.serverName() == null) {
-                fail();
+            if (check
+                    || !load.isKnown()
+                    || !isFromTarget(headers)
+                    || !ok && dialect.serverName() == null) {
+                fail(isFromTarget(headers) ? ServerPresence.RUNNING : ServerPresence.GONE);
             } else if (markEnded()) {
                 connections.release(
                         action.target(),
@@ -154,10 +188,15 @@
                     action.target(), acquired, TimeUnit.MILLISECONDS.toNanos(idleMillis));
         }
 
-        private void fail() {
+        private void fail(ServerPresence presence) {
             if (markEnded()) {
                 BackendServerConnections.closeNow(connection);
-                events.accept(new Event.ProbeFailed(action.service(), action.target().id()));
+                ServiceId service = action.service();
+                BackendServerId server = action.target().id();
+                events.accept(
+                        check
+                                ? new Event.ServerChecked(service, server, presence)
+                                : new Event.ProbeFailed(service, server));
             }
         }
 
--- a/server/src/main/java/org/snipeslip/server/http/RequestBody.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestBody.java
@@ -19,19 +19,33 @@
  * only once. Nothing is read before the first try calls {@link #prepare}.
  */
 final class RequestBody {
+    /** Bytes of a streamed body that are read ahead; as many as of a body of known length. */
+    private static final int AHEAD_BYTES = 64 * 1024;
+
     private final HttpServerExchange exchange;
     private final BodyMemoryBudget memoryBudget;
     private final boolean present;
     private final long maxBodyBytes;
     private final int bufferedBytes;
+
+    /** Length that the caller has declared, or -1. */
+    private final long declaredBytes;
+
     private final List<Listener> waitingListeners = new ArrayList<>(1);
     private ByteBuffer buffered;
     private ChunkedRequestBody chunked;
+    private BodySource source;
     private boolean bufferingStarted;
 
+    /** The part of a streamed body that was read ahead, or null. */
+    private ByteBuffer ahead;
+
+    private boolean aheadWhole;
+
     /** Digest of a body that is streamed, because its bytes are gone when it is needed. */
     private MessageDigest streamDigest;
 
+    private long streamedBytes;
     private boolean streamedWhole;
     private boolean streamed;
     private boolean released;
@@ -43,6 +57,7 @@
         this.memoryBudget = memoryBudget;
         this.present = !exchange.isRequestComplete();
         String length = exchange.getRequestHeaders().getFirst(Headers.CONTENT_LENGTH);
+        this.declaredBytes = length == null ? -1 : Long.parseLong(length);
         boolean buffer =
                 present && length != null && memoryBudget.tryReserve(Long.parseLong(length));
         this.bufferedBytes = buffer ? Integer.parseInt(length) : 0;
@@ -52,6 +67,11 @@
         return present;
     }
 
+    /** Returns whether a body has been read as a whole before it is sent. */
+    boolean isBuffered() {
+        return buffered != null || aheadWhole;
+    }
+
     /** Returns whether more than one try can send the body. */
     boolean isReplayable() {
         return !present || bufferedBytes > 0;
@@ -64,22 +84,64 @@
 
     /** Calls the listener when the body is ready to be sent by another try, or cannot be sent. */
     void prepare(Listener listener) {
+        afterContinue(listener, () -> prepareAfterContinue(listener));
+    }
+
+    /** Reads as much of the body as is kept in memory, before a try sends it. */
+    void readAhead(Listener listener) {
+        afterContinue(
+                listener,
+                () -> {
+                    if (!present || bufferedBytes > 0 || !memoryBudget.tryReserve(AHEAD_BYTES)) {
+                        prepareAfterContinue(listener);
+                    } else {
+                        ahead = ByteBuffer.allocate(AHEAD_BYTES);
+                        source().onReadable(() -> collect(listener));
+                        collect(listener);
+                    }
+                });
+    }
+
+    private void collect(Listener listener) {
+        BodySource from = source();
+        int count;
+        try {
+            do {
+                count = from.read(ahead);
+            } while (count > 0 && ahead.hasRemaining());
+        } catch (IOException e) {
+            recordFault(e);
+            from.suspend();
+            listener.failed();
+            return;
+        }
+        if (count == 0 && ahead.hasRemaining()) {
+            from.resume();
+            return;
+        }
+        from.suspend();
+        aheadWhole = count < 0;
+        ahead.flip();
+        listener.ready();
+    }
+
+    private void afterContinue(Listener listener, Runnable next) {
         if (HttpContinue.requiresContinueResponse(exchange)
                 && !HttpContinue.isContinueResponseSent(exchange)) {
-            sendContinue(listener);
+            sendContinue(listener, next);
         } else {
-            prepareAfterContinue(listener);
+            next.run();
         }
     }
 
     /** Sends 100 Continue to a caller that waits for it before it sends the body. */
-    private void sendContinue(Listener listener) {
+    private void sendContinue(Listener listener, Runnable next) {
         HttpContinue.sendContinueResponse(
                 exchange,
                 new IoCallback() {
                     @Override
                     public void onComplete(HttpServerExchange done, Sender sender) {
-                        prepareAfterContinue(listener);
+                        next.run();
                     }
 
                     @Override
@@ -106,22 +168,32 @@
             return new BodyPump(buffered.duplicate(), sink, listener);
         }
         streamed = true;
+        if (aheadWhole) {
+            return new BodyPump(ahead.duplicate(), sink, listener);
+        }
         streamDigest = HttpRequestIdentity.newDigest();
-        return new BodyPump(source(), sink, exchange.getConnection().getByteBufferPool(), listener);
+        BodySource rest = ahead == null ? source() : new PrefixedSource(ahead, source());
+        return new BodyPump(rest, sink, exchange.getConnection().getByteBufferPool(), listener);
     }
 
     private BodySource source() {
-        if (!exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
-            return BodySource.of(exchange.getRequestChannel());
+        if (source == null) {
+            if (exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING)) {
+                chunked = new ChunkedRequestBody(exchange, maxBodyBytes);
+                source = chunked;
+            } else {
+                source = BodySource.of(exchange.getRequestChannel());
+            }
         }
-        chunked = new ChunkedRequestBody(exchange, maxBodyBytes);
-        return chunked;
+        return source;
     }
 
-    /** Called with each part of a streamed body before it is sent. */
+    /** Called with each part of a streamed body before it is sent; the last one may be missing. */
     void recordStreamed(ByteBuffer bytes) {
         if (streamDigest != null) {
             streamDigest.update(bytes.duplicate());
+            streamedBytes += bytes.remaining();
+            streamedWhole |= streamedBytes == declaredBytes;
         }
     }
 
@@ -130,6 +202,11 @@
         streamedWhole = true;
     }
 
+    /** Returns whether a streamed body has been read to its end. */
+    boolean isStreamedWhole() {
+        return streamedWhole;
+    }
+
     /** Returns the digest of the body, or null if it has not been read to its end. */
     byte[] digest() {
         if (!present || bufferedBytes > 0) {
@@ -142,6 +219,11 @@
             }
             return digest.digest();
         }
+        if (aheadWhole) {
+            MessageDigest digest = HttpRequestIdentity.newDigest();
+            digest.update(ahead.duplicate());
+            return digest.digest();
+        }
         if (streamDigest == null || !streamedWhole) {
             return null;
         }
@@ -164,11 +246,14 @@
         if (chunked != null) {
             chunked.release();
         }
+        if (ahead != null && !released) {
+            memoryBudget.release(AHEAD_BYTES);
+        }
         if (bufferedBytes > 0 && !released) {
-            released = true;
             buffered = null;
             memoryBudget.release(bufferedBytes);
         }
+        released = true;
     }
 
     private void bufferWhole() {
--- a/server/src/main/java/org/snipeslip/server/operator/InstanceMetrics.java
+++ b/server/src/main/java/org/snipeslip/server/operator/InstanceMetrics.java
@@ -21,6 +21,7 @@
     private final Counter openCalls = registry.counter(PREFIX + "open_calls");
     private final Counter tries = registry.counter(PREFIX + "tries_total");
     private final Counter rateLimitChanges = registry.counter(PREFIX + "rate_limit_changes_total");
+    private final Counter suspicionChanges = registry.counter(PREFIX + "suspicion_changes_total");
     private final Counter storeRestorations = registry.counter(PREFIX + "store_restorations_total");
     private final Counter storeCalls = registry.counter(PREFIX + "object_api_calls_total");
     private final Counter storeFailures = registry.counter(PREFIX + "object_api_failures_total");
@@ -60,6 +61,11 @@
         registry.counter(PREFIX + "refusals_total{reason=\"" + reason + "\"}").inc();
     }
 
+    /** Counts a change of what is believed about a request that may crash servers. */
+    public void suspicionChanged() {
+        suspicionChanges.inc();
+    }
+
     /** Counts a restoration of the store from a copy. */
     public void storeRestored() {
         storeRestorations.inc();
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -64,6 +64,7 @@
     /** Null if the settings open no port for other instances. */
     private final PeerFeed peerFeed;
 
+    private final SuspectLink.Http suspectLink;
     private final Undertow peerServer;
 
     /** Null if the settings turn the warm-up off. */
@@ -122,6 +123,13 @@
                         },
                         this::stopAccepting,
                         this::finishStop);
+        suspectLink =
+                new SuspectLink.Http(
+                        client,
+                        message -> driver.handle(new Event.SuspectMessageReceived(message)),
+                        instance::suspicionsFor,
+                        digest -> instance.verdictOn(digest, System.nanoTime()));
+        driver.setSuspectLink(suspectLink);
         registerGauges();
         jvmWarmup = settings.warmsUpJvm() ? new JvmWarmup(settings, worker, buffers) : null;
         readinessServer =
@@ -239,7 +247,14 @@
                 Undertow.builder()
                         .setWorker(worker)
                         .setByteBufferPool(buffers)
-                        .setHandler(peerFeed)
+                        .setHandler(
+                                exchange -> {
+                                    if (exchange.getRequestPath().equals(SuspectLink.PATH)) {
+                                        suspectLink.handleRequest(exchange);
+                                    } else {
+                                        peerFeed.handleRequest(exchange);
+                                    }
+                                })
                         .addHttpListener(address.getPort(), address.getHostString())
                         .build();
         server.start();
@@ -313,6 +328,8 @@
 
     private void registerGauges() {
         proxy.registerGauges(instance::configInForce, decisionLog);
+        proxy.metrics().registerGauge("other_instances", instance::otherInstanceCount);
+        proxy.metrics().registerGauge("suspected_requests", instance::suspectCount);
         proxy.metrics().registerGauge("follows_peer", () -> instance.followsPeer() ? 1 : 0);
         proxy.metrics()
                 .registerGauge(
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -44,6 +44,7 @@
     private final Runnable onStopAccepting;
     private final Consumer<Action.FinishStop> onFinishStop;
     private final Map<RequestId, CallRelay> relays = new ConcurrentHashMap<>();
+    private volatile SuspectLink suspectLink = SuspectLink.NONE;
     private volatile boolean closed;
 
     StateMachineDriver(
@@ -90,6 +91,11 @@
         relays.remove(request);
     }
 
+    /** Sets the link to other instances for messages about suspected requests. */
+    void setSuspectLink(SuspectLink link) {
+        suspectLink = link;
+    }
+
     /** Ignores all further events, such as those caused by connections that are being closed. */
     void close() {
         closed = true;
@@ -120,6 +126,17 @@
                 case Action.SendProbe a -> probeSender.send(a);
                 case Action.RateLimitChanged a -> logRateLimit(a);
                 case Action.StoreRestored a -> logStoreRestored(a);
+                case Action.CheckServer a -> probeSender.check(a);
+                case Action.SuspicionChanged a -> SuspectLog.log(a.change(), metrics);
+                case Action.SendSuspectMessage a ->
+                        suspectLink.send(
+                                a, delivered -> handle(new Event.SuspectMessageSent(a, delivered)));
+                case Action.ReadRequest a -> executeOnRelay(a.request(), a);
+                case Action.AskSuspicion a ->
+                        suspectLink.ask(
+                                a, verdict -> handle(new Event.SuspicionAnswered(a, verdict)));
+                case Action.PullSuspicions a ->
+                        suspectLink.pull(a, told -> handle(new Event.SuspicionsPulled(told)));
             }
         }
     }
