Forget ended suspicions, and pull more often just after a start

A suspicion that has ended stayed in the table, so that after the first crash the digest of every request was computed for as long as the process ran. Ended ones are now forgotten after a minute, others after ten, and only open ones make requests be compared. An instance that has just started asks others each second for 6 s, because the first one asked may have started as well. 16 KiB of a body of undeclared length are read ahead instead of 64. SuspectedCallTest.noRequestIsComparedAfterSuspicionHasEnded fails before.

--- a/core/src/main/java/org/snipeslip/core/suspect/SuspectSharing.java
+++ b/core/src/main/java/org/snipeslip/core/suspect/SuspectSharing.java
@@ -41,7 +41,12 @@
     private static final int MAX_UNDELIVERED = 2_048;
 
     private static final long FIRST_PULL_NANOS = 500 * NANOS_PER_MILLI;
-    private static final long PULL_NANOS = 2_000 * NANOS_PER_MILLI;
+    private static final long PULL_NANOS = 1_000 * NANOS_PER_MILLI;
+
+    /** The first ones are more frequent, because others may have just started as well. */
+    private static final long FREQUENT_PULLS_NANOS = 6_000 * NANOS_PER_MILLI;
+
+    private static final long LATER_PULL_NANOS = 3_000 * NANOS_PER_MILLI;
 
     /** Other instances have read the entry of a new one by then, and tell it themselves. */
     private static final long LAST_PULL_NANOS = 30_000 * NANOS_PER_MILLI;
@@ -238,8 +243,9 @@
         }
         if (nowNanos >= pullDueNanos) {
             pull(outbox);
-            boolean last = nowNanos - startedNanos >= LAST_PULL_NANOS;
-            pullDueNanos = last ? NEVER : nowNanos + PULL_NANOS;
+            long ageNanos = nowNanos - startedNanos;
+            long pauseNanos = ageNanos < FREQUENT_PULLS_NANOS ? PULL_NANOS : LATER_PULL_NANOS;
+            pullDueNanos = ageNanos < LAST_PULL_NANOS ? nowNanos + pauseNanos : NEVER;
         }
         setTimer(nowNanos, outbox);
     }
--- a/core/src/main/java/org/snipeslip/core/suspect/SuspectTable.java
+++ b/core/src/main/java/org/snipeslip/core/suspect/SuspectTable.java
@@ -38,12 +38,19 @@
     /** Entries below the level of a verdict are forgotten after this time without news. */
     private static final long MEMORY_NANOS = 600_000 * NANOS_PER_MILLI;
 
+    /** Entries whose suspicion has ended are kept for messages that are still on their way. */
+    private static final long ENDED_MEMORY_NANOS = 60_000 * NANOS_PER_MILLI;
+
+    private static final long CLEANUP_NANOS = 1_000 * NANOS_PER_MILLI;
+
     private final SplittableRandom random;
     private final Map<RequestDigest, Entry> entries = new HashMap<>();
 
     /** Home regions of suspected requests that this instance may not know, and until when. */
     private final Map<Set<RegionId>, Long> alerts = new HashMap<>();
 
+    private long cleanupDueNanos;
+
     private volatile boolean empty = true;
 
     /**
@@ -93,6 +100,9 @@
      * @return the verdict
      */
     public synchronized Verdict verdict(RequestDigest digest, long nowNanos) {
+        if (nowNanos - cleanupDueNanos >= 0) {
+            cleanUp(nowNanos);
+        }
         Entry entry = entries.get(digest);
         if (entry == null) {
             return Verdict.UNSUSPECTED;
@@ -124,7 +134,6 @@
             makeRoom(nowNanos);
             entry = new Entry();
             entries.put(news.digest(), entry);
-            empty = false;
         } else if (!news.isAfter(entry.suspicion)) {
             return false;
         } else if (news.epoch() > entry.suspicion.epoch()) {
@@ -139,6 +148,7 @@
             double spread = 1 + random.nextDouble();
             entry.refusedUntilNanos = nowNanos + (long) (millis * spread) * NANOS_PER_MILLI;
         }
+        updateEmpty();
         return true;
     }
 
@@ -187,7 +197,7 @@
     public synchronized void alert(Set<RegionId> homeRegions, long nowNanos) {
         if (alerts.size() < MAX_ALERTS || alerts.containsKey(homeRegions)) {
             alerts.put(homeRegions, nowNanos + MEMORY_NANOS);
-            empty = false;
+            updateEmpty();
         }
     }
 
@@ -264,12 +274,21 @@
                 .toList();
     }
 
+    private void cleanUp(long nowNanos) {
+        cleanupDueNanos = nowNanos + CLEANUP_NANOS;
+        entries.values().removeIf(entry -> entry.isOutdated(nowNanos));
+        alerts.values().removeIf(untilNanos -> nowNanos >= untilNanos);
+        updateEmpty();
+    }
+
+    private void updateEmpty() {
+        empty =
+                alerts.isEmpty()
+                        && entries.values().stream().allMatch(e -> e.suspicion.level() == 0);
+    }
+
     private void makeRoom(long nowNanos) {
-        entries.values()
-                .removeIf(
-                        entry ->
-                                entry.suspicion.level() < Suspicion.REFUSED_LEVEL
-                                        && nowNanos - entry.changedNanos > MEMORY_NANOS);
+        cleanUp(nowNanos);
         if (entries.size() >= MAX_ENTRIES) {
             Comparator<Entry> leastUseful = Comparator.comparingInt(e -> e.suspicion.level());
             entries.values().stream()
@@ -285,5 +304,11 @@
         private long changedNanos;
         private long refusedUntilNanos;
         private boolean told;
+
+        boolean isOutdated(long nowNanos) {
+            int level = suspicion.level();
+            long memoryNanos = level == 0 ? ENDED_MEMORY_NANOS : MEMORY_NANOS;
+            return level < Suspicion.REFUSED_LEVEL && nowNanos - changedNanos > memoryNanos;
+        }
     }
 }
--- a/core/src/test/java/org/snipeslip/core/call/SuspectedCallTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/SuspectedCallTest.java
@@ -133,6 +133,21 @@
         assertThat(table.find(DIGEST).level()).isEqualTo(cleared ? 0 : Suspicion.ALONE_LEVEL);
     }
 
+    /** Guards against digests of all requests for as long as the process runs. */
+    @Test
+    void noRequestIsComparedAfterSuspicionHasEnded() {
+        configure();
+        suspect(1, Set.of());
+        assertThat(table.isEmpty()).isFalse();
+        table.cleared(DIGEST, nowNanos);
+        assertThat(table.isEmpty()).isTrue();
+        suspect(1, Set.of());
+        table.alert(Set.of(REGION), nowNanos);
+        nowNanos += 601_000 * MILLI;
+        arriveOther();
+        assertThat(table.isEmpty()).isTrue();
+    }
+
     private void configure() {
         engine.configure(
                 DeploymentFixtures.config(1, DeploymentFixtures.servers(8, 2, "a1"), Set.of()),
--- a/server/src/main/java/org/snipeslip/server/http/RequestBody.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestBody.java
@@ -19,8 +19,8 @@
  * only once. Nothing is read before the first try calls {@link #prepare}.
  */
 final class RequestBody {
-    /** Bytes of a streamed body that are read ahead; as many as of a body of known length. */
-    private static final int AHEAD_BYTES = 64 * 1024;
+    /** Bytes of a streamed body that are read ahead; longer ones are rare. */
+    private static final int AHEAD_BYTES = 16 * 1024;
 
     private final HttpServerExchange exchange;
     private final BodyMemoryBudget memoryBudget;
