Answer a call at its deadline while its body is read ahead

While a request was under suspicion, a call whose body did not end waited without a time limit, and one whose suspicion ended at the same moment was not continued. The reading ahead now ends at the deadline of the call, and its end is always handled.

--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -197,7 +197,7 @@
                     shard.callerDisconnected(e.request(), nowNanos, outbox);
                 }
             }
-            case Event.RequestRead e when !suspects.isEmpty() -> {
+            case Event.RequestRead e -> {
                 ServiceShard shard = openCalls.shardOf(e.request());
                 if (shard != null) {
                     shard.requestRead(e.request(), e.partlySent(), nowNanos, outbox);
--- a/core/src/main/java/org/snipeslip/core/call/ShardSuspects.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardSuspects.java
@@ -61,7 +61,7 @@
         RequestDigest digest = call.head.identity().digest();
         if (digest == null && !call.readAhead) {
             call.readAhead = true;
-            outbox.add(new Action.ReadRequest(call.request));
+            outbox.add(new Action.ReadRequest(call.request, call.deadlineNanos - nowNanos));
         } else if (digest != null && foreign) {
             outbox.askSuspicion(
                     new SuspectQuestion(call.request, digest, call.homeRegions.regions()));
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -210,8 +210,10 @@
      * end is reported as {@link Event.RequestRead}.
      *
      * @param request the call
+     * @param remainingNanos time until the deadline of the call, at which it is reported at the
+     *     latest
      */
-    record ReadRequest(RequestId request) implements Action {}
+    record ReadRequest(RequestId request, long remainingNanos) implements Action {}
 
     /**
      * Asks an instance of the home regions about a request; the answer is reported as {@link
--- a/server/src/main/java/org/snipeslip/server/http/CallRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallRelay.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.snipeslip.core.call.Refusal;
 import org.snipeslip.core.call.RefusalReason;
 import org.snipeslip.core.id.RequestId;
@@ -13,6 +14,7 @@
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.RecordableAnswer;
 import org.snipeslip.server.operator.CallResult;
+import org.xnio.XnioExecutor;
 
 /**
  * Executes the actions of one call on the I/O thread of its exchange. The call ends exactly once:
@@ -63,7 +65,7 @@
             case Action.SendTry send -> startTry(send);
             case Action.CancelTry cancel -> cancelTry(cancel.tryId());
             case Action.RelayAnswer answer -> relayResponse(answer.tryId());
-            case Action.ReadRequest read -> readRequest();
+            case Action.ReadRequest read -> readRequest(read.remainingNanos());
             case Action.RefuseCaller refuse -> refuse(refuse.refusal());
             case Action.ReplayAnswer replay -> replay(replay.answer());
             default ->
@@ -168,16 +170,22 @@
         }
     }
 
-    private void readRequest() {
+    private void readRequest(long remainingNanos) {
+        Event.RequestRead read = new Event.RequestRead(request, false);
+        XnioExecutor.Key timeout =
+                exchange.getIoThread()
+                        .executeAfter(() -> report(read), remainingNanos, TimeUnit.NANOSECONDS);
         body.readAhead(
                 new RequestBody.Listener() {
                     @Override
                     public void ready() {
-                        report(new Event.RequestRead(request, false));
+                        timeout.remove();
+                        report(read);
                     }
 
                     @Override
                     public void failed() {
+                        timeout.remove();
                         if (body.fault() == null) {
                             callerDisconnected();
                         } else {
