Tell other instances of crashes again after a success has ended a suspicion

Cause: the mark that all instances were told of a request stayed set when a success ended the suspicion. If the request crashed servers later, for example after a release, first crashes at different instances were counted and nobody was told, so that each instance could lose a server. Change: the mark holds for open suspicions only. SuspectSharingTest.tellsOfCrashesAgainAfterASuccess fails before (1 of 1) and passes after, with the other cases of SuspectSharingTest and SuspectedCallTest.

--- a/core/src/main/java/org/snipeslip/core/suspect/SuspectSharing.java
+++ b/core/src/main/java/org/snipeslip/core/suspect/SuspectSharing.java
@@ -131,7 +131,7 @@
             }
             case SuspectMessage.Notice notice when notice.suspicion().mayBeKnownIn(region) -> {
                 mergeFromPeer(notice.suspicion(), nowNanos, outbox);
-                table.markTold(notice.suspicion().digest());
+                table.markTold(notice.suspicion());
             }
             case SuspectMessage.Alert alert when !alert.homeRegions().contains(region) ->
                     table.alert(alert.homeRegions(), nowNanos);
@@ -279,7 +279,7 @@
     }
 
     private void tellAll(Suspicion suspicion, Outbox outbox) {
-        table.markTold(suspicion.digest());
+        table.markTold(suspicion);
         SuspectMessage.Notice notice = new SuspectMessage.Notice(suspicion);
         for (SuspectPeer peer : peers) {
             SuspectMessage message =
--- a/core/src/main/java/org/snipeslip/core/suspect/SuspectTable.java
+++ b/core/src/main/java/org/snipeslip/core/suspect/SuspectTable.java
@@ -246,14 +246,12 @@
         return entry.servers.size();
     }
 
-    /** Remembers that all instances were told of a suspicion; returns whether they had been. */
-    synchronized boolean markTold(RequestDigest digest) {
-        Entry entry = entries.get(digest);
-        boolean before = entry != null && entry.told;
+    /** Remembers that all instances were told of a suspicion, or that it has ended. */
+    synchronized void markTold(Suspicion suspicion) {
+        Entry entry = entries.get(suspicion.digest());
         if (entry != null) {
-            entry.told = true;
+            entry.told = suspicion.level() > 0;
         }
-        return before;
     }
 
     synchronized boolean isTold(RequestDigest digest) {
--- a/core/src/test/java/org/snipeslip/core/suspect/SuspectSharingTest.java
+++ b/core/src/test/java/org/snipeslip/core/suspect/SuspectSharingTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -125,6 +126,35 @@
         assertThat(table.find(POPULAR)).isNull();
     }
 
+    /** Guards against a request that was cleared once and of whose later crashes nobody is told. */
+    @Test
+    void tellsOfCrashesAgainAfterASuccess() {
+        RegionId region = new RegionId("r");
+        SuspectTable table = new SuspectTable(1);
+        SuspectSharing sharing = new SuspectSharing(new InstanceId("a"), region, table, 1);
+        sharing.setPeers(List.of(new SuspectPeer("b", region, "b:1")));
+        for (long epoch = 0; epoch < 3; epoch++) {
+            Outbox outbox = new Outbox();
+            Suspicion first = new Suspicion(DEADLY, epoch, 1, Set.of());
+            sharing.received(new SuspectMessage.Report(first, "s1"), 0, outbox);
+            sharing.received(new SuspectMessage.Report(first, "s2"), 0, outbox);
+            assertThat(notices(outbox)).containsExactly(first);
+            Outbox cleared = new Outbox();
+            Suspicion end = new Suspicion(DEADLY, epoch + 1, 0, Set.of());
+            sharing.received(new SuspectMessage.Report(end, ""), 0, cleared);
+            assertThat(notices(cleared)).containsExactly(end);
+        }
+    }
+
+    private static List<Suspicion> notices(Outbox outbox) {
+        return outbox.actions().stream()
+                .filter(Action.SendSuspectMessage.class::isInstance)
+                .map(action -> ((Action.SendSuspectMessage) action).message())
+                .filter(SuspectMessage.Notice.class::isInstance)
+                .map(message -> ((SuspectMessage.Notice) message).suspicion())
+                .toList();
+    }
+
     private static long gapNanos(SimulatedSuspects fleet) {
         return (50 + fleet.random.nextInt(900)) * SimulatedSuspects.MILLI;
     }
