Log the version, source and age of each configuration in force

The line "configuration in force" shows neither the version nor where it was heard of, so an instance that has lost its source of changes cannot be told from one that applies changes late.

Change: the line has the version, the source (the store or the followed instance), the revision of each kind, and the age of what is known. Nothing is decided differently.

--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -137,8 +137,7 @@
             sendDueRequests(nowNanos, outbox);
             setTimer(nowNanos, outbox);
         }
-        return new DiscoveryResponse.PeerChanges(
-                changes, Math.max(0, nowNanos - knownAsOfNanos) / NANOS_PER_MILLI);
+        return new DiscoveryResponse.PeerChanges(changes, ageMillis(nowNanos));
     }
 
     /**
@@ -373,10 +372,23 @@
                             configSetBuilder.build(
                                     caches.get(DiscoveryKind.SERVERS).objects(),
                                     caches.get(DiscoveryKind.EVACUATIONS).objects(),
-                                    nowNanos)));
+                                    nowNanos),
+                            origin(nowNanos)));
         }
     }
 
+    private ConfigOrigin origin(long nowNanos) {
+        return new ConfigOrigin(
+                configSetBuilder.config().version(),
+                followsPeer() ? follower.followed() : "",
+                caches.revisions(),
+                ageMillis(nowNanos));
+    }
+
+    private long ageMillis(long nowNanos) {
+        return Math.max(0, nowNanos - knownAsOfNanos) / NANOS_PER_MILLI;
+    }
+
     private static void send(DiscoveryRequest request, Outbox outbox) {
         if (request != null) {
             outbox.add(new Action.SendDiscoveryRequest(request));
--- a/core/src/main/java/org/snipeslip/core/discovery/PeerFollower.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/PeerFollower.java
@@ -51,6 +51,11 @@
         return followed != null;
     }
 
+    /** Returns the address of the followed instance, or null while the store is followed. */
+    String followed() {
+        return followed;
+    }
+
     /** Returns whether an instance is being asked, or one can be asked before a time. */
     boolean hasCandidateBefore(long limitNanos) {
         return pending != null || nextCandidate(limitNanos) != null;
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -4,6 +4,7 @@
 import org.snipeslip.core.call.Refusal;
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.discovery.ConfigOrigin;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.InstanceId;
@@ -117,8 +118,14 @@
      * Reports that a configuration is now in force.
      *
      * @param config the configuration
-     */
-    record ConfigAdopted(ConfigSet config) implements Action {}
+     * @param origin where it was discovered, or null if it was published to this instance
+     */
+    record ConfigAdopted(ConfigSet config, ConfigOrigin origin) implements Action {
+        /** Reports a configuration that was not discovered. */
+        public ConfigAdopted(ConfigSet config) {
+            this(config, null);
+        }
+    }
 
     /**
      * Reports that the planned stop is complete, so that the process can end.
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -8,10 +8,12 @@
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 import org.snipeslip.core.call.DecisionRecord;
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.Service;
+import org.snipeslip.core.discovery.ConfigOrigin;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.id.RequestId;
@@ -119,7 +121,7 @@
                                 a.delayNanos(),
                                 timer -> handle(new Event.TimerFired(timer)));
                 case Action.RecordDecision a -> decisionConsumer.accept(a.decision());
-                case Action.ConfigAdopted a -> logConfigInForce(a.config());
+                case Action.ConfigAdopted a -> logConfigInForce(a.config(), a.origin());
                 case Action.FinishStop a -> onFinishStop.accept(a);
                 case Action.StopAccepting a -> onStopAccepting.run();
                 case Action.SendPeerMessage a -> peerSender.accept(a.address(), a.message());
@@ -141,7 +143,7 @@
         }
     }
 
-    private static void logConfigInForce(ConfigSet config) {
+    private static void logConfigInForce(ConfigSet config, ConfigOrigin origin) {
         int serverCount = 0;
         int drainingCount = 0;
         for (Service service : config.services().values()) {
@@ -155,8 +157,17 @@
                         .filter(domain -> !domain.inService())
                         .map(domain -> domain.id().value())
                         .toList();
-        LOG.atInfo()
-                .addKeyValue("generation", config.generation().number())
+        LoggingEventBuilder line = LOG.atInfo();
+        if (origin != null) {
+            line =
+                    line.addKeyValue("version", origin.version())
+                            .addKeyValue(
+                                    "source",
+                                    origin.followed().isEmpty() ? "store" : origin.followed())
+                            .addKeyValue("revisions", origin.revisions())
+                            .addKeyValue("ageMillis", origin.ageMillis());
+        }
+        line.addKeyValue("generation", config.generation().number())
                 .addKeyValue("routes", config.routes().size())
                 .addKeyValue("backendServers", serverCount)
                 .addKeyValue("draining", drainingCount)
