Check in the simulation that changes are in force whenever an instance is in touch

Cause: PeerFollowingTest looked at an instance only once, 2 s after a change, and only if it had been undisturbed for 3 s before the change. The promise is wider: at any later moment an instance that has been in touch for 3 s knows every change that was acknowledged 2 s ago or earlier. An instance that starts was therefore never checked against changes that came while it started. Restarts took no time, power was never lost, and the store turned nobody away.

Change: each change is checked every 0.1 s for 3 s after its limit. Two properties are new: many instances restart with the load time of a JVM, and the store turns instances away.

--- a/core/src/test/java/org/snipeslip/core/discovery/PeerFollowingTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/PeerFollowingTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -30,9 +31,15 @@
     /** The shortest time limit of the platform for a change that the store has acknowledged. */
     private static final long LIMIT_NANOS = 2 * SECOND_NANOS;
 
+    /** What the platform adds to the limit while the store turns instances away. */
+    private static final long UNSTABLE_NANOS = 5 * SECOND_NANOS;
+
     /** Time without a disturbance after which the limit holds. */
     private static final long CONTACT_NANOS = 3 * SECOND_NANOS;
 
+    /** Interval of the checks of one change. */
+    private static final long CHECK_NANOS = 100 * NANOS_PER_MILLI;
+
     private static final long START_NANOS = 9 * SECOND_NANOS;
     private static final ServiceId SERVICE = new ServiceId("s");
 
@@ -112,6 +119,52 @@
         }
     }
 
+    static IntStream restartSeeds() {
+        return IntStream.range(0, Integer.getInteger("snipeslip.restartSeeds", 60));
+    }
+
+    /** Guards against a starting instance that hears of no change while it looks for others. */
+    @ParameterizedTest
+    @MethodSource("restartSeeds")
+    void appliesEachChangeInTimeAfterManyInstancesRestarted(int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        startAll(12, true);
+        time.runFor(START_NANOS);
+        for (int step = 0; step < 100; step++) {
+            after(step * 100, () -> change(random));
+        }
+        int share = random.nextInt(1, 13);
+        for (SimulatedFollower instance : instances) {
+            if (random.nextInt(12) < share) {
+                after(1_000, random.nextBoolean() ? instance::kill : instance::powerOff);
+                after(1_000 + random.nextInt(5_000), () -> instance.start(random.nextInt(1_500)));
+            }
+        }
+        time.runFor(15 * SECOND_NANOS);
+
+        assertThat(violations).isEmpty();
+    }
+
+    /** Guards against an instance that the store refuses and that then asks no other instance. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 4, 8, 11})
+    void appliesEachChangeWhileTheStoreTurnsInstancesAway(int turnedAway) {
+        SplittableRandom random = new SplittableRandom(turnedAway);
+        startAll(12, true);
+        time.runFor(START_NANOS);
+        List<SimulatedFollower> leadersFirst =
+                instances.stream()
+                        .sorted(Comparator.comparing(SimulatedFollower::followsPeer))
+                        .toList();
+        leadersFirst.subList(0, turnedAway).forEach(instance -> instance.turnAway(20_000));
+        for (int step = 0; step < 30; step++) {
+            after(step * 500, () -> change(random, LIMIT_NANOS + UNSTABLE_NANOS));
+        }
+        time.runFor(30 * SECOND_NANOS);
+
+        assertThat(violations).isEmpty();
+    }
+
     /** Guards against requests without a pause to a store that has other revisions than before. */
     @ParameterizedTest
     @ValueSource(ints = {1, 12, 60})
@@ -217,6 +270,10 @@
     }
 
     private void change(SplittableRandom random) {
+        change(random, LIMIT_NANOS);
+    }
+
+    private void change(SplittableRandom random, long limitNanos) {
         if (store.isDown()) {
             return;
         }
@@ -233,12 +290,18 @@
         Set<String> expected = Set.copyOf(present);
         int expectedVersion = version;
         long changedNanos = time.nowNanos();
-        after(LIMIT_NANOS / 1e6, () -> check(expected, expectedVersion, changedNanos));
+        // An instance may come in touch only after the limit.
+        for (long nanos = limitNanos; nanos <= limitNanos + CONTACT_NANOS; nanos += CHECK_NANOS) {
+            after(nanos / 1e6, () -> check(expected, expectedVersion, changedNanos, limitNanos));
+        }
     }
 
-    /** Checks that all instances in touch know at least what was acknowledged at a time. */
-    private void check(Set<String> expected, int expectedVersion, long changedNanos) {
-        long calmSinceNanos = changedNanos - CONTACT_NANOS;
+    /** Checks that all instances in touch know at least what was acknowledged some time ago. */
+    private void check(
+            Set<String> expected, int expectedVersion, long changedNanos, long limitNanos) {
+        long calmSinceNanos = time.nowNanos() - CONTACT_NANOS;
+        // What was acknowledged about servers counts only from then on.
+        long stableNanos = storeDisturbedUntilNanos + CONTACT_NANOS;
         if (store.isDown() || storeDisturbedUntilNanos > calmSinceNanos) {
             return;
         }
@@ -251,12 +314,12 @@
                         instance.name()
                                 + " has version "
                                 + instance.version()
-                                + ", 2 s ago: "
+                                + " instead of "
                                 + expectedVersion
                                 + " at "
                                 + time.nowNanos() / 1e9);
             }
-            for (String server : expected) {
+            for (String server : changedNanos < stableNanos ? Set.<String>of() : expected) {
                 if (present.contains(server) && !instance.servers().contains(server)) {
                     violations.add(
                             instance.name()
@@ -270,12 +333,12 @@
                 // Names only grow, so that a higher one may have been added since.
                 boolean removed = !expected.contains(server) && number(server) < highest(expected);
                 // A restored store may list it again until its entry has expired.
-                if (removed && store.isGoneFor(server, LIMIT_NANOS)) {
+                if (removed && store.isGoneFor(server, limitNanos, stableNanos)) {
                     violations.add(
                             instance.name()
                                     + " still uses "
                                     + server
-                                    + ", removed 2 s ago, at "
+                                    + ", which was removed, at "
                                     + time.nowNanos() / 1e9);
                 }
             }
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
@@ -52,6 +52,8 @@
     private boolean frozen;
     private boolean storeCut;
     private boolean peersCut;
+    private boolean turnedAway;
+    private boolean powered = true;
     private long disturbedUntilNanos;
 
     SimulatedFollower(
@@ -98,6 +100,22 @@
         return alive && !frozen && !storeCut && disturbedUntilNanos <= sinceNanos;
     }
 
+    /** Starts the process, which handles its first event when the JVM has loaded it. */
+    void start(double loadMillis) {
+        powered = true;
+        disturbedUntilNanos = time.nowNanos();
+        int started = ++incarnation;
+        after(
+                loadMillis,
+                () -> {
+                    if (incarnation == started) {
+                        long startedNanos = disturbedUntilNanos;
+                        start();
+                        disturbedUntilNanos = startedNanos;
+                    }
+                });
+    }
+
     void start() {
         alive = true;
         frozen = false;
@@ -132,6 +150,15 @@
         handle(new Event.Started());
     }
 
+    /** Ends the process without a sign to those that wait for it. */
+    void powerOff() {
+        powered = false;
+        alive = false;
+        heldWhileFrozen.clear();
+        frozen = false;
+        polls.clear();
+    }
+
     /** Ends the process; callers of its ports are told at once. */
     void kill() {
         alive = false;
@@ -168,6 +195,12 @@
                 });
     }
 
+    /** Lets the store refuse all calls of this instance, which still reaches the others. */
+    void turnAway(double millis) {
+        turnedAway = true;
+        after(millis, () -> turnedAway = false);
+    }
+
     void cutFromPeers(double millis) {
         peersCut = true;
         after(millis, () -> peersCut = false);
@@ -275,6 +308,10 @@
             if (!peersCut && !peer.peersCut) {
                 after(LINK_MILLIS, () -> peer.receive(poll, deliverUnlessCut(peer, consumer)));
             }
+        } else if (turnedAway) {
+            after(
+                    2 * STORE_LINK_MILLIS,
+                    () -> consumer.accept(new DiscoveryResponse.Failed(true, "turned away")));
         } else if (!storeCut) {
             after(
                     STORE_LINK_MILLIS,
@@ -285,7 +322,7 @@
                                             after(
                                                     STORE_LINK_MILLIS,
                                                     () -> {
-                                                        if (!storeCut) {
+                                                        if (!storeCut && !turnedAway) {
                                                             consumer.accept(response);
                                                         }
                                                     })));
@@ -306,7 +343,9 @@
 
     private void receive(DiscoveryRequest.PeerPoll request, Consumer<DiscoveryResponse> consumer) {
         if (!alive) {
-            consumer.accept(new DiscoveryResponse.Failed(true, "refused"));
+            if (powered) {
+                consumer.accept(new DiscoveryResponse.Failed(true, "refused"));
+            }
             return;
         }
         runUnlessFrozen(
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
@@ -95,10 +95,14 @@
         return rewritten.contains(server);
     }
 
-    /** Returns whether an object was removed at least some time ago, and has not come back. */
-    boolean isGoneFor(String name, long nanos) {
+    /**
+     * Returns whether an object was removed at least some time ago, and has not come back.
+     *
+     * @param sinceNanos earlier removals do not count
+     */
+    boolean isGoneFor(String name, long nanos, long sinceNanos) {
         Long removed = removedNanos.get(name);
-        return removed != null && time.nowNanos() - removed >= nanos;
+        return removed != null && removed >= sinceNanos && time.nowNanos() - removed >= nanos;
     }
 
     boolean wasRestored() {
