Bound how long a starting instance hears of no change

What callers saw: after processes had been restarted, an instance that counted as in touch handled calls as an older version of the configuration allows, more than 2 s after the newer one was acknowledged.

Cause: an instance that starts reads the lists and then looks for another one to follow, for up to 2.4 s, and watches nothing meanwhile. Others that found it first in the order followed it nevertheless; one that is followed asks nobody, so it stayed without a source for the whole time, and took its followers away from an instance that had one. Loading the JVM takes up to 1.5 s before that, so that the time ends more than 3 s after the start of the process, when the limit holds again.

Change: the search for others ends when what the lists have shown is as old as changes may be batched (1.2 s of 2 s), and an instance that has no source of changes does not answer others.

--- a/core/src/main/java/org/snipeslip/core/discovery/ChangeSource.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/ChangeSource.java
@@ -44,7 +44,10 @@
         this.caches = caches;
         this.registry = registry;
         this.follower = this.settings == null ? null : new PeerFollower(this.settings);
-        this.start = new StartPhase(this.settings == null ? 0 : this.settings.startMillis());
+        this.start =
+                new StartPhase(
+                        this.settings == null ? 0 : this.settings.startMillis(),
+                        watch.batchMillis());
     }
 
     /** Returns whether other instances may be asked at all. */
@@ -92,7 +95,7 @@
      * @param indirect whether it may although it follows another one itself
      */
     boolean mayTell(boolean indirect) {
-        return caches.areComplete() && (indirect || !followsPeer());
+        return caches.areComplete() && !start.isActive() && (indirect || !followsPeer());
     }
 
     /** Records that another instance was told; returns whether requests may have become due. */
@@ -218,6 +221,9 @@
         if (!start.isActive() || follower.isFollowing()) {
             return;
         }
+        if (caches.areComplete()) {
+            start.listsRead(knownAsOfNanos);
+        }
         // Without others in the list, they may be starting too.
         boolean alone = registry.knowsOthers() && !follower.hasCandidateBefore(start.endNanos());
         if (nowNanos >= start.endNanos() || alone) {
