Keep the earlier one of two timers of an engine

What callers may have seen: a change that an instance had read of was in force up to a second late.

Cause, found by reading: two threads handle events of the discovery engine (the I/O thread and that of the timers). Each sets the engine's only timer to what is due next, after it has left the engine's lock. If the one that was decided on first is executed last, its later time replaces the earlier one, and nothing is done until the next response. A read that is due 1.2 s after the last one, plus up to 1 s of a cheap watch, exceeds the limit of 2 s. The timers of the shards and of the messages about suspected requests are set in the same way.

Change: these three timers are kept if they fire earlier than the new one. The engines set them to the earliest of all due times and compute the next one when they fire.

--- a/core/src/main/java/org/snipeslip/core/call/ShardTimer.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardTimer.java
@@ -25,7 +25,7 @@
     void scheduleBy(long dueNanos, long nowNanos, Outbox outbox) {
         if (dueNanos < scheduledNanos) {
             scheduledNanos = dueNanos;
-            outbox.add(new Action.SetTimer(id, Math.max(0, dueNanos - nowNanos)));
+            outbox.add(new Action.SetTimer(id, Math.max(0, dueNanos - nowNanos), true));
         }
     }
 }
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -289,7 +289,7 @@
         due = Math.min(due, source.dueNanos(nowNanos));
         if (due < timerDueNanos) {
             timerDueNanos = due;
-            outbox.add(new Action.SetTimer(TIMER, Math.max(0, due - nowNanos)));
+            outbox.add(new Action.SetTimer(TIMER, Math.max(0, due - nowNanos), true));
         }
     }
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -91,12 +91,20 @@
     record CallStore(StoreCallId call, StoreRequest request) implements Action {}
 
     /**
-     * Sets a timer; it replaces an earlier timer with the same identifier.
+     * Sets a timer; the pending one with the same id is replaced.
      *
      * @param timer identifies the timer in {@link Event.TimerFired}
      * @param delayNanos delay from now
-     */
-    record SetTimer(TimerId timer, long delayNanos) implements Action {}
+     * @param unlessEarlier whether a pending one that fires earlier is kept. An engine with one
+     *     timer for all that is due needs this: two threads may execute their actions in another
+     *     order than the engine decided on them
+     */
+    record SetTimer(TimerId timer, long delayNanos, boolean unlessEarlier) implements Action {
+        /** Sets a timer that replaces the pending one in any case. */
+        public SetTimer(TimerId timer, long delayNanos) {
+            this(timer, delayNanos, false);
+        }
+    }
 
     /**
      * Probes the load of a backend server; the probe budget has already been charged.
--- a/core/src/main/java/org/snipeslip/core/suspect/SuspectSharing.java
+++ b/core/src/main/java/org/snipeslip/core/suspect/SuspectSharing.java
@@ -336,7 +336,7 @@
             due = Math.min(due, each.dueNanos);
         }
         if (due != NEVER) {
-            outbox.add(new Action.SetTimer(TIMER, Math.max(0, due - nowNanos)));
+            outbox.add(new Action.SetTimer(TIMER, Math.max(0, due - nowNanos), true));
         }
     }
 
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -119,6 +119,7 @@
                         timers.set(
                                 a.timer(),
                                 a.delayNanos(),
+                                a.unlessEarlier(),
                                 timer -> handle(new Event.TimerFired(timer)));
                 case Action.RecordDecision a -> decisionConsumer.accept(a.decision());
                 case Action.ConfigAdopted a -> logConfigInForce(a.config(), a.origin());
--- a/server/src/main/java/org/snipeslip/server/runtime/Timers.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/Timers.java
@@ -25,14 +25,29 @@
         executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
     }
 
-    /** Sets a timer. A pending timer with the same id is replaced and does not fire. */
-    void set(TimerId timer, long delayNanos, Consumer<TimerId> task) {
-        PendingTimer added = new PendingTimer(timer, task);
-        PendingTimer replaced = pendingTimers.put(timer, added);
-        if (replaced != null) {
-            replaced.cancel();
+    /**
+     * Sets a timer. A pending timer with the same id is replaced and does not fire.
+     *
+     * @param unlessEarlier whether to keep the pending timer instead if it fires earlier
+     */
+    void set(TimerId timer, long delayNanos, boolean unlessEarlier, Consumer<TimerId> task) {
+        PendingTimer added = new PendingTimer(timer, System.nanoTime() + delayNanos, task);
+        PendingTimer kept =
+                pendingTimers.compute(
+                        timer,
+                        (id, pending) -> {
+                            if (pending == null) {
+                                return added;
+                            }
+                            if (unlessEarlier && pending.dueNanos - added.dueNanos <= 0) {
+                                return pending;
+                            }
+                            pending.cancel();
+                            return added;
+                        });
+        if (kept == added) {
+            schedule(added, delayNanos);
         }
-        schedule(added, delayNanos);
     }
 
     /** Runs a task periodically; the first run is one period from now. */
@@ -77,11 +92,13 @@
     /** A timer that is set and has not fired yet; it fires only if it was not replaced. */
     private final class PendingTimer implements Runnable {
         private final TimerId timer;
+        private final long dueNanos;
         private final Consumer<TimerId> task;
         private volatile ScheduledFuture<?> future;
 
-        PendingTimer(TimerId timer, Consumer<TimerId> task) {
+        PendingTimer(TimerId timer, long dueNanos, Consumer<TimerId> task) {
             this.timer = timer;
+            this.dueNanos = dueNanos;
             this.task = task;
         }
 
