Give up the idle connections of an origin after one has timed out

What callers may have seen: an instance that turned from a followed instance to the store heard of a change late.

Cause, found by reading: a client keeps up to eight idle connections for each origin for any time and uses the last one first. Connections may go silent without a sign while new ones work. A follower keeps those to the store from its start; when it has to return to the store, each silent one costs one time-out (0.5 to 3.1 s, 26.5 s for a main watch), one after the other. The limit of a change is 2 s.

Change: a time-out closes the idle connections of its origin too, and one that has been idle for more than 3 s is not used again. Watches and polls pause for 1.2 s at most.

--- a/server/src/main/java/org/snipeslip/server/http/SimpleHttpClient.java
+++ b/server/src/main/java/org/snipeslip/server/http/SimpleHttpClient.java
@@ -25,13 +25,20 @@
 public final class SimpleHttpClient {
     private static final int DEFAULT_MAX_IDLE_PER_ORIGIN = 8;
 
+    /**
+     * Longer than the pauses between watches and between polls. A connection may go silent without
+     * notice while nothing is sent on it.
+     */
+    private static final long DEFAULT_MAX_IDLE_NANOS = 3_000_000_000L;
+
     /** Four times the largest object or page of the object API; the body is kept in memory. */
     private static final long MAX_RESPONSE_BYTES = 4L << 20;
 
     private final XnioIoThread ioThread;
     private final ByteBufferPool buffers;
     private final int maxIdlePerOrigin;
-    private final Map<URI, Deque<ClientConnection>> idle = new HashMap<>();
+    private final long maxIdleNanos;
+    private final Map<URI, Deque<IdleConnection>> idle = new HashMap<>();
     private final Map<ClientConnection, ProgressLimit> limits = new HashMap<>();
 
     /**
@@ -52,9 +59,26 @@
      * @param maxIdlePerOrigin maximum number of idle connections for each origin
      */
     public SimpleHttpClient(XnioIoThread ioThread, ByteBufferPool buffers, int maxIdlePerOrigin) {
+        this(ioThread, buffers, maxIdlePerOrigin, DEFAULT_MAX_IDLE_NANOS);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param ioThread runs all requests and the listeners
+     * @param buffers buffer pool of the connections
+     * @param maxIdlePerOrigin maximum number of idle connections for each origin
+     * @param maxIdleNanos connections that have been idle for longer are not used again
+     */
+    SimpleHttpClient(
+            XnioIoThread ioThread,
+            ByteBufferPool buffers,
+            int maxIdlePerOrigin,
+            long maxIdleNanos) {
         this.ioThread = ioThread;
         this.buffers = buffers;
         this.maxIdlePerOrigin = maxIdlePerOrigin;
+        this.maxIdleNanos = maxIdleNanos;
     }
 
     /**
@@ -85,14 +109,7 @@
         void start(long timeoutMillis) {
             timeout =
                     ioThread.executeAfter(
-                            () ->
-                                    fail(
-                                            new IOException(
-                                                    "no complete answer within the time limit of "
-                                                            + timeoutMillis
-                                                            + " ms")),
-                            timeoutMillis,
-                            TimeUnit.MILLISECONDS);
+                            () -> timedOut(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
             ClientConnection pooled = pollIdle(request.origin());
             if (pooled != null) {
                 sendOn(pooled);
@@ -101,6 +118,16 @@
             }
         }
 
+        private void timedOut(long timeoutMillis) {
+            // What has silenced this connection may have silenced the idle ones too.
+            closeIdle(request.origin());
+            fail(
+                    new IOException(
+                            "no complete answer within the time limit of "
+                                    + timeoutMillis
+                                    + " ms"));
+        }
+
         private void connect() {
             LimitingConnector connector = new LimitingConnector(ioThread, MAX_RESPONSE_BYTES);
             UndertowClient.getInstance()
@@ -169,23 +196,34 @@
     }
 
     private ClientConnection pollIdle(URI origin) {
-        Deque<ClientConnection> connections = idle.getOrDefault(origin, new ArrayDeque<>());
+        Deque<IdleConnection> connections = idle.getOrDefault(origin, new ArrayDeque<>());
+        long oldestNanos = System.nanoTime() - maxIdleNanos;
         while (!connections.isEmpty()) {
-            ClientConnection connection = connections.pop();
-            if (connection.isOpen()) {
-                return connection;
+            IdleConnection each = connections.pop();
+            if (each.connection.isOpen() && each.sinceNanos - oldestNanos > 0) {
+                return each.connection;
             }
+            IoUtils.safeClose(each.connection);
         }
         return null;
     }
 
+    private void closeIdle(URI origin) {
+        Deque<IdleConnection> connections = idle.remove(origin);
+        if (connections != null) {
+            connections.forEach(each -> IoUtils.safeClose(each.connection));
+        }
+    }
+
     private void releaseConnection(URI origin, ClientConnection connection) {
-        Deque<ClientConnection> connections =
-                idle.computeIfAbsent(origin, key -> new ArrayDeque<>());
+        Deque<IdleConnection> connections = idle.computeIfAbsent(origin, key -> new ArrayDeque<>());
         if (connection.isOpen() && connections.size() < maxIdlePerOrigin) {
-            connections.push(connection);
+            connections.push(new IdleConnection(connection, System.nanoTime()));
         } else {
             IoUtils.safeClose(connection);
         }
     }
+
+    /** An idle connection, and since when it is. */
+    private record IdleConnection(ClientConnection connection, long sinceNanos) {}
 }
