--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,10 +10,8 @@
 import org.snipeslip.core.config.Route;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
-import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.idempotency.ClaimDecision;
-import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.EngineName;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Outbox;
@@ -24,6 +21,7 @@
 import org.snipeslip.core.routing.RouteTable;
 import org.snipeslip.core.routing.SplitChooser;
 import org.snipeslip.core.suspect.SuspectAnswer;
+import org.snipeslip.core.suspect.SuspectPeer;
 import org.snipeslip.core.suspect.SuspectTable;
 
 /**
@@ -43,12 +41,13 @@
     private final ProbeBudget budget;
     private final SuspectTable suspects;
     private final OpenCalls openCalls = new OpenCalls();
+    private final Detour detour;
     private final ConcurrentHashMap<ServiceId, ServiceShard> shards = new ConcurrentHashMap<>();
     private final SplitChooser splitChooser;
 
     private volatile InstanceShare instanceShare;
     private volatile ConfigView view =
-            new ConfigView(ConfigSet.EMPTY, new RouteTable(ConfigSet.EMPTY));
+            new ConfigView(ConfigSet.EMPTY, new RouteTable(ConfigSet.EMPTY), 0);
 
     /**
      * Creates an engine with no configuration.
@@ -81,6 +80,7 @@
         this.budget = new ProbeBudget(settings.probeSettings());
         this.splitChooser = new SplitChooser(new SplittableRandom(seed + 1));
         this.instanceShare = new InstanceShare(settings.instances(), 0);
+        this.detour = new Detour(region, openCalls, new SplittableRandom(seed + 2));
     }
 
     /**
@@ -90,7 +90,19 @@
      * @param nowNanos current time of the monotonic clock
      * @param outbox receives the resulting actions
      */
-    public synchronized void configure(ConfigSet config, long nowNanos, Outbox outbox) {
+    public void configure(ConfigSet config, long nowNanos, Outbox outbox) {
+        configure(config, config.generation().number(), nowNanos, outbox);
+    }
+
+    /**
+     * Applies a new configuration, like {@link #configure(ConfigSet, long, Outbox)}.
+     *
+     * @param version its version, which other instances know it by
+     * @param nowNanos current time of the monotonic clock
+     * @param outbox receives the resulting actions
+     */
+    public synchronized void configure(
+            ConfigSet config, long version, long nowNanos, Outbox outbox) {
         boolean firstConfig = view.config.generation().number() == 0;
         // Sorted by name, because all new shards split their seeds off one generator, and equal
         // seeds must give equal decisions.
@@ -98,7 +110,8 @@
             shards.computeIfAbsent(service, this::newShard);
         }
         shards.values().forEach(shard -> shard.configure(config, firstConfig, nowNanos, outbox));
-        view = new ConfigView(config, new RouteTable(config));
+        view = new ConfigView(config, new RouteTable(config), version);
+        detour.configure(config, version);
         shards.entrySet()
                 .removeIf(
                         entry ->
@@ -117,6 +130,34 @@
         shards.values().forEach(shard -> shard.setInstanceShare(share));
     }
 
+    /**
+     * Replaces the other instances, to which calls can be passed.
+     *
+     * @param others instances with an address
+     */
+    public void setPeers(List<SuspectPeer> others) {
+        detour.setPeers(others);
+    }
+
+    /**
+     * Returns whether another instance may pass calls to this one.
+     *
+     * @param version version of the configuration that is needed
+     * @return false if this instance reaches no backend server, or has an older version
+     */
+    public boolean acceptsPassedCalls(long version) {
+        return view.version >= version && !isCutOff();
+    }
+
+    /**
+     * Returns whether this instance reaches no backend server.
+     *
+     * @return true if calls are passed to other instances
+     */
+    public boolean isCutOff() {
+        return detour.isCutOff();
+    }
+
     /**
      * Continues a call with an idempotency key after the decision on its claim. Decisions on calls
      * that are no longer open are ignored.
@@ -125,10 +166,7 @@
      * @param outbox receives the resulting actions
      */
     public void claimDecided(ClaimDecision decision, long nowNanos, Outbox outbox) {
-        ServiceShard shard = openCalls.shardOf(decision.request());
-        if (shard != null) {
-            shard.claimDecided(decision, nowNanos, outbox);
-        }
+        openCalls.ownerOf(decision.request()).claimDecided(decision, nowNanos, outbox);
     }
 
     /**
@@ -139,10 +177,7 @@
      * @param outbox receives the resulting actions
      */
     public void suspicionAnswered(SuspectAnswer answer, long nowNanos, Outbox outbox) {
-        ServiceShard shard = openCalls.shardOf(answer.request());
-        if (shard != null) {
-            shard.suspicionAnswered(answer, nowNanos, outbox);
-        }
+        openCalls.ownerOf(answer.request()).suspicionAnswered(answer, nowNanos, outbox);
     }
 
     /**
@@ -168,6 +203,7 @@
      */
     public void abort(long nowNanos, Outbox outbox) {
         shards.values().forEach(shard -> shard.abort(nowNanos, outbox));
+        detour.abort(outbox);
     }
 
     /**
@@ -188,27 +224,38 @@
     public void handle(Event event, long nowNanos, Outbox outbox) {
         switch (event) {
             case Event.CallArrived e -> arrive(e, nowNanos, outbox);
-            case Event.TryAnswered e -> answered(e, nowNanos, outbox);
-            case Event.TryCompleted e -> completed(e, nowNanos, outbox);
-            case Event.TryFailed e -> failed(e, nowNanos, outbox);
-            case Event.CallerDisconnected e -> {
-                ServiceShard shard = openCalls.shardOf(e.request());
-                if (shard != null) {
-                    shard.callerDisconnected(e.request(), nowNanos, outbox);
-                }
-            }
-            case Event.RequestRead e -> {
-                ServiceShard shard = openCalls.shardOf(e.request());
-                if (shard != null) {
-                    shard.requestRead(e.request(), e.partlySent(), nowNanos, outbox);
-                }
-            }
+            case Event.TryAnswered e ->
+                    openCalls
+                            .ownerOf(e.tryId().request())
+                            .answered(e.tryId(), e.status(), e.load(), nowNanos, outbox);
+            case Event.TryCompleted e ->
+                    openCalls
+                            .ownerOf(e.tryId().request())
+                            .completed(e.tryId(), e.recordable(), nowNanos, outbox);
+            case Event.TryFailed e ->
+                    openCalls
+                            .ownerOf(e.tryId().request())
+                            .failed(e.tryId(), e.failure(), e.load(), nowNanos, outbox);
+            case Event.CallerDisconnected e ->
+                    openCalls
+                            .ownerOf(e.request())
+                            .callerDisconnected(e.request(), nowNanos, outbox);
+            case Event.RequestRead e ->
+                    openCalls
+                            .ownerOf(e.request())
+                            .requestRead(e.request(), e.partlySent(), nowNanos, outbox);
             case Event.ServerChecked e -> {
                 ServiceShard shard = shards.get(e.service());
                 if (shard != null) {
                     shard.serverChecked(e.backendServer(), e.presence(), nowNanos, outbox);
                 }
             }
+            case Event.TimerFired e when e.timer().owner() == EngineName.DETOUR ->
+                    detour.timerFired(nowNanos, outbox);
+            case Event.LinkTested e when e.reached() ->
+                    detour.serverAnswered(e.target().id(), nowNanos, outbox);
+            case Event.LinkTested e -> detour.serverUnreachable(e.target(), nowNanos, outbox);
+            case Event.DetourAnswered e -> detour.peerAnswered(e.address(), e.willing(), nowNanos);
             case Event.TimerFired e when e.timer().owner() == EngineName.CALL -> {
                 ServiceShard shard = shards.get(new ServiceId(e.timer().key()));
                 if (shard != null) {
@@ -237,41 +284,34 @@
     private ServiceShard newShard(ServiceId service) {
         ServiceShard shard =
                 new ServiceShard(
-                        service, settings, location, openCalls, budget, suspects, random.split());
+                        service,
+                        settings,
+                        location,
+                        openCalls,
+                        budget,
+                        suspects,
+                        detour,
+                        random.split());
         shard.setInstanceShare(instanceShare);
         return shard;
     }
 
-    private void answered(Event.TryAnswered event, long nowNanos, Outbox outbox) {
-        ServiceShard shard = openCalls.shardOf(event.tryId().request());
-        if (shard != null) {
-            shard.answered(event.tryId(), event.status(), event.load(), nowNanos, outbox);
-        }
-    }
-
-    private void completed(Event.TryCompleted event, long nowNanos, Outbox outbox) {
-        ServiceShard shard = openCalls.shardOf(event.tryId().request());
-        if (shard != null) {
-            shard.completed(event.tryId(), event.recordable(), nowNanos, outbox);
-        }
-    }
-
-    private void failed(Event.TryFailed event, long nowNanos, Outbox outbox) {
-        ServiceShard shard = openCalls.shardOf(event.tryId().request());
-        if (shard != null) {
-            shard.failed(event.tryId(), event.failure(), event.load(), nowNanos, outbox);
-        }
-    }
-
     private void arrive(Event.CallArrived arrived, long nowNanos, Outbox outbox) {
         ConfigView current = view;
         CallHead head = arrived.head();
+        if (head.handover() != null && !acceptsPassedCalls(head.handover().version())) {
+            RefusalReason reason =
+                    detour.isCutOff() ? RefusalReason.CUT_OFF : RefusalReason.NOT_READY;
+            EarlyRefusal.refuse(arrived.request(), null, Refusal.notRun(reason), outbox);
+            return;
+        }
         Optional<Route> matched = current.routes.match(head.host(), head.path(), head.method());
         if (matched.isEmpty()) {
             boolean ready = current.config.generation().number() > 0;
             RefusalReason reason = ready ? RefusalReason.NO_ROUTE : RefusalReason.NOT_READY;
             long retryMillis = ready ? 0 : STARTUP_MILLIS;
-            refuse(arrived.request(), null, Refusal.notRun(reason, retryMillis), outbox);
+            EarlyRefusal.refuse(
+                    arrived.request(), null, Refusal.notRun(reason, retryMillis), outbox);
             return;
         }
         Route route = matched.get();
@@ -279,14 +319,14 @@
         // writes a decision record, and no record of the call may be kept outside its home regions.
         HomeRegions routeRegions = HomeRegions.of(route, null);
         if (!acceptsCallFor(routeRegions)) {
-            refuseOutsideHomeRegions(arrived.request(), routeRegions.regions(), outbox);
+            EarlyRefusal.outsideHomeRegions(arrived.request(), routeRegions.regions(), outbox);
             return;
         }
         Organisation organisation = null;
         if (head.organisation() != null) {
             organisation = current.config.organisations().get(head.organisation());
             if (organisation == null) {
-                refuse(
+                EarlyRefusal.refuse(
                         arrived.request(),
                         route,
                         Refusal.notRun(RefusalReason.UNKNOWN_ORGANISATION),
@@ -296,11 +336,12 @@
         }
         HomeRegions homeRegions = HomeRegions.of(route, organisation);
         if (!acceptsCallFor(homeRegions)) {
-            refuseOutsideHomeRegions(arrived.request(), homeRegions.regions(), outbox);
+            EarlyRefusal.outsideHomeRegions(arrived.request(), homeRegions.regions(), outbox);
             return;
         }
         if (head.depth() > settings.maxDepth()) {
-            refuse(arrived.request(), route, Refusal.notRun(RefusalReason.TOO_DEEP), outbox);
+            EarlyRefusal.refuse(
+                    arrived.request(), route, Refusal.notRun(RefusalReason.TOO_DEEP), outbox);
             return;
         }
         submit(arrived, route, organisation, homeRegions, nowNanos, outbox);
@@ -335,43 +376,20 @@
         int retries = (route.maxTries() > 0 ? route.maxTries() : settings.maxTries()) - 1;
         call.retriesLeft =
                 head.retriesLeft() >= 0 ? Math.min(head.retriesLeft(), retries) : retries;
+        if (detour.isCutOff() && detour.take(call, true, nowNanos, outbox)) {
+            return;
+        }
         ServiceShard shard = shards.get(splitChooser.choose(route));
         if (shard == null) {
             // A newer configuration has removed the service in the meantime.
             Refusal refusal = Refusal.notRun(RefusalReason.NO_BACKEND_SERVER);
-            refuse(arrived.request(), route, refusal, outbox);
+            EarlyRefusal.refuse(arrived.request(), route, refusal, outbox);
             return;
         }
         openCalls.add(arrived.request(), shard);
         shard.arrive(call, nowNanos, outbox);
     }
 
-    /**
-     * Refuses a call without writing a decision record: nothing of the call may be kept outside its
-     * home regions.
-     */
-    private static void refuseOutsideHomeRegions(
-            RequestId request, Set<RegionId> regions, Outbox outbox) {
-        Refusal refusal =
-                new Refusal(RefusalReason.OUTSIDE_HOME_REGIONS, Outcome.NOT_RUN, false, 0, regions);
-        outbox.add(new Action.RefuseCaller(request, refusal));
-    }
-
-    private static void refuse(RequestId request, Route route, Refusal refusal, Outbox outbox) {
-        outbox.add(new Action.RefuseCaller(request, refusal));
-        outbox.add(
-                new Action.RecordDecision(
-                        new DecisionRecord(
-                                request,
-                                DecisionRecord.Kind.REFUSED,
-                                route == null ? null : route.id(),
-                                route == null ? null : route.service(),
-                                0,
-                                null,
-                                refusal,
-                                List.of())));
-    }
-
     /** A configuration and the route table derived from it, replaced atomically. */
-    private record ConfigView(ConfigSet config, RouteTable routes) {}
+    private record ConfigView(ConfigSet config, RouteTable routes, long version) {}
 }
--- a/core/src/main/java/org/snipeslip/core/call/CallHead.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallHead.java
@@ -19,6 +19,8 @@
  *     number
  * @param bodyReplayable whether the body is empty or small enough to be sent again
  * @param identity computes the digest that repetitions of the request share
+ * @param handover what another instance states that has passed the call, or null if it comes from a
+ *     caller
  */
 public record CallHead(
         String method,
@@ -31,8 +33,37 @@
         int depth,
         int retriesLeft,
         boolean bodyReplayable,
-        RequestIdentity identity) {
-    /** Creates the head of a request that is never compared with others. */
+        RequestIdentity identity,
+        Handover handover) {
+    /** Creates the head of a caller's request. */
+    public CallHead(
+            String method,
+            String host,
+            String path,
+            OrganisationId organisation,
+            IdempotencyKey idempotencyKey,
+            String fingerprint,
+            long remainingNanos,
+            int depth,
+            int retriesLeft,
+            boolean bodyReplayable,
+            RequestIdentity identity) {
+        this(
+                method,
+                host,
+                path,
+                organisation,
+                idempotencyKey,
+                fingerprint,
+                remainingNanos,
+                depth,
+                retriesLeft,
+                bodyReplayable,
+                identity,
+                null);
+    }
+
+    /** Creates the head of a caller's request that is never compared with others. */
     public CallHead(
             String method,
             String host,
--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
@@ -6,6 +6,7 @@
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.RouteId;
 import org.snipeslip.core.id.ServiceId;
+import org.snipeslip.core.id.TryId;
 
 /**
  * One decision about a call, for the decision log.
@@ -19,6 +20,7 @@
  * @param refusal the refusal, or null if the call was not refused
  * @param candidates the backend servers considered, the chosen one first, at most 16
  * @param loss how a try ended without a response, or null
+ * @param passedTo address of the instance that the call was passed to, or null
  */
 public record DecisionRecord(
         RequestId request,
@@ -29,7 +31,8 @@
         BackendServerId chosen,
         Refusal refusal,
         List<Candidate> candidates,
-        Loss loss) {
+        Loss loss,
+        String passedTo) {
     /** Copies the list, except a {@link CandidateSnapshot}, which is no longer changed. */
     public DecisionRecord {
         if (!(candidates instanceof CandidateSnapshot)) {
@@ -47,7 +50,23 @@
             BackendServerId chosen,
             Refusal refusal,
             List<Candidate> candidates) {
-        this(request, kind, route, service, tryNumber, chosen, refusal, candidates, null);
+        this(request, kind, route, service, tryNumber, chosen, refusal, candidates, null, null);
+    }
+
+    /** Creates a record of a decision about a call that was passed to another instance. */
+    static DecisionRecord ofPassedCall(
+            CallState call, Kind kind, TryId passed, String passedTo, Refusal refusal) {
+        return new DecisionRecord(
+                call.request,
+                kind,
+                call.route.id(),
+                call.route.service(),
+                passed.number(),
+                null,
+                refusal,
+                List.of(),
+                null,
+                passedTo);
     }
 
     /** Type of a decision. */
@@ -60,6 +79,8 @@
         HEDGED,
         /** The call was queued until a backend server has capacity. */
         QUEUED,
+        /** The call was passed to another instance, because no server is reached from here. */
+        PASSED_ON,
         /** The connection of a try was lost after the request had been sent. */
         LOST,
         /** The instance refused the call. */
--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecorder.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecorder.java
@@ -56,7 +56,8 @@
                                 null,
                                 List.of(),
                                 new DecisionRecord.Loss(
-                                        failure, nowNanos - lost.sentAtNanos, digest))));
+                                        failure, nowNanos - lost.sentAtNanos, digest),
+                                null)));
     }
 
     private void record(
--- a/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -26,6 +26,8 @@
     BACKEND_SERVER_REFUSED(503),
     /** No connection to a backend server could be opened. */
     BACKEND_SERVER_UNREACHABLE(503),
+    /** The call was passed by another instance, but this one reaches no backend server either. */
+    CUT_OFF(503),
     /** Backend servers crashed one after another while they ran the same request. */
     CRASHES_BACKEND_SERVERS(503),
     /** A call with the same idempotency key is still running. */
@@ -36,7 +38,7 @@
     KEY_REUSED(422),
     /** The record of idempotency keys cannot be reached. */
     ONCE_UNAVAILABLE(503),
-    /** The instance has no configuration yet. */
+    /** The instance has no configuration yet, or not the one by which a passed call is handled. */
     NOT_READY(503),
     /** The instance is stopping. */
     STOPPING(503);
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -22,9 +22,11 @@
     private final ServiceId service;
     private final ServerPool pool;
     private final ShardProbes probes;
+    private final Detour detour;
 
-    ServerFeedback(ServiceId service, ServerPool pool, ShardProbes probes) {
+    ServerFeedback(ServiceId service, ServerPool pool, ShardProbes probes, Detour detour) {
         this.probes = probes;
+        this.detour = detour;
         this.service = service;
         this.pool = pool;
     }
@@ -38,6 +40,7 @@
 
     void answered(OpenTry openTry, int status, LoadReport report, long nowNanos, Outbox outbox) {
         ServerState state = openTry.server;
+        detour.serverAnswered(state.server.id(), nowNanos, outbox);
         ServiceLoad serviceLoad = pool.serviceLoad();
         applyRateLimit(state, report, openTry.sentAtNanos, false, nowNanos, outbox);
         applyReport(state, report, nowNanos);
@@ -65,6 +68,15 @@
     void failed(
             OpenTry openTry, TryFailure failure, LoadReport report, long nowNanos, Outbox outbox) {
         ServerState state = openTry.server;
+        switch (failure) {
+            case NOT_CONNECTED, CONNECT_TIMED_OUT, BROKEN_BEFORE_HEAD ->
+                    detour.serverUnreachable(state.server, nowNanos, outbox);
+            case REFUSED_NOT_RUN, BROKEN_BODY, MALFORMED ->
+                    detour.serverAnswered(state.server.id(), nowNanos, outbox);
+            case NO_CONNECTION_LEFT, TIMED_OUT, CANCELLED, REQUEST_BODY_BROKEN -> {
+                // Says nothing about the link.
+            }
+        }
         applyRateLimit(state, report, openTry.sentAtNanos, false, nowNanos, outbox);
         applyReport(state, report, nowNanos);
         long latencyNanos = nowNanos - openTry.sentAtNanos;
@@ -92,13 +104,15 @@
     }
 
     /** Handles an unanswered probe; the state is null if the server has been removed since. */
-    void probeFailed(ServerState state, long nowNanos) {
+    void probeFailed(ServerState state, long nowNanos, Outbox outbox) {
         if (state != null) {
+            detour.serverUnreachable(state.server, nowNanos, outbox);
             state.load.recordProbeFailure(nowNanos);
         }
     }
 
     void probeAnswered(ServerState state, LoadReport report, long nowNanos, Outbox outbox) {
+        detour.serverAnswered(state.server.id(), nowNanos, outbox);
         long earliestSentNanos = nowNanos - MAX_PROBE_NANOS;
         applyRateLimit(state, report, earliestSentNanos, true, nowNanos, outbox);
         applyReport(state, report, nowNanos);
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -22,11 +22,12 @@
  * The calls and backend servers of one service. Every method for callers acquires the shard's own
  * lock, which is the last but one in the lock order; no other shard is locked at the same time.
  */
-final class ServiceShard {
+final class ServiceShard implements CallOwner {
     /** Flows that one dispatch may skip because no server has room for their calls. */
     private static final int MAX_BLOCKED_FLOWS = 8;
 
     private final ServiceId service;
+    private final Detour detour;
     private final ServerPool pool;
     private final ServerFeedback feedback;
     private final ShardQueue queue;
@@ -49,17 +50,19 @@
             OpenCalls openCalls,
             ProbeBudget budget,
             SuspectTable suspectTable,
+            Detour detour,
             RandomGenerator random) {
         this.service = service;
+        this.detour = detour;
         this.pool = new ServerPool(settings, location, random);
         this.queue = new ShardQueue(settings, pool.serviceLoad(), random);
         this.retries = new ShardRetries(settings);
         this.placements = new PendingPlacements(service, pool);
         this.probes = new ShardProbes(service, pool, settings.probeSettings(), budget);
-        this.feedback = new ServerFeedback(service, pool, probes);
+        this.feedback = new ServerFeedback(service, pool, probes, detour);
         this.timer = new ShardTimer(service);
         this.decisions = new DecisionRecorder(service);
-        this.calls = new ShardCalls(openCalls, decisions);
+        this.calls = new ShardCalls(openCalls, detour, decisions);
         this.admission = new ShardAdmission(pool, queue, calls, decisions);
         this.suspects = new ShardSuspects(service, location.region(), probes, suspectTable);
         this.sender =
@@ -103,7 +106,9 @@
 
     synchronized void arrive(CallState call, long nowNanos, Outbox outbox) {
         calls.add(call);
-        retries.earnToken();
+        if (call.head.handover() == null || call.head.handover().earnsRetry()) {
+            retries.earnToken();
+        }
         if (call.needsClaim()) {
             call.awaitsClaim = true;
             outbox.requestClaim(call.claimRequest());
@@ -113,7 +118,8 @@
         dispatchWaiting(nowNanos, outbox);
     }
 
-    synchronized void claimDecided(ClaimDecision decision, long nowNanos, Outbox outbox) {
+    @Override
+    public synchronized void claimDecided(ClaimDecision decision, long nowNanos, Outbox outbox) {
         CallState call = calls.get(decision.request());
         if (call == null || !call.awaitsClaim) {
             return;
@@ -136,7 +142,8 @@
         dispatchWaiting(nowNanos, outbox);
     }
 
-    synchronized void answered(
+    @Override
+    public synchronized void answered(
             TryId tryId, int status, LoadReport load, long nowNanos, Outbox outbox) {
         CallState call = calls.get(tryId.request());
         OpenTry openTry = call == null ? null : call.findOpenTry(tryId);
@@ -152,7 +159,8 @@
         dispatchWaiting(nowNanos, outbox);
     }
 
-    synchronized void completed(
+    @Override
+    public synchronized void completed(
             TryId tryId, RecordableAnswer answer, long nowNanos, Outbox outbox) {
         CallState call = calls.get(tryId.request());
         OpenTry openTry = call == null ? null : call.findOpenTry(tryId);
@@ -165,7 +173,8 @@
         dispatchWaiting(nowNanos, outbox);
     }
 
-    synchronized void failed(
+    @Override
+    public synchronized void failed(
             TryId tryId, TryFailure failure, LoadReport load, long nowNanos, Outbox outbox) {
         CallState call = calls.get(tryId.request());
         OpenTry openTry = call == null ? null : call.findOpenTry(tryId);
@@ -196,7 +205,8 @@
     }
 
     /** Decides about a call whose digest is known only now, before its request is complete. */
-    synchronized void requestRead(
+    @Override
+    public synchronized void requestRead(
             RequestId request, boolean partlySent, long nowNanos, Outbox outbox) {
         CallState call = calls.get(request);
         if (call != null && call.awaitsVerdict) {
@@ -216,7 +226,8 @@
         dispatchWaiting(nowNanos, outbox);
     }
 
-    synchronized void suspicionAnswered(SuspectAnswer answer, long nowNanos, Outbox outbox) {
+    @Override
+    public synchronized void suspicionAnswered(SuspectAnswer answer, long nowNanos, Outbox outbox) {
         CallState call = calls.get(answer.request());
         if (call != null && call.awaitsVerdict) {
             call.toldVerdict = answer.verdict();
@@ -235,7 +246,8 @@
         suspects.checked(id, presence, nowNanos, outbox);
     }
 
-    synchronized void callerDisconnected(RequestId request, long nowNanos, Outbox outbox) {
+    @Override
+    public synchronized void callerDisconnected(RequestId request, long nowNanos, Outbox outbox) {
         CallState call = calls.get(request);
         if (call == null) {
             return;
@@ -301,7 +313,7 @@
 
     synchronized void probeFailed(BackendServerId id, long nowNanos, Outbox outbox) {
         probes.failed(id);
-        feedback.probeFailed(pool.find(id), nowNanos);
+        feedback.probeFailed(pool.find(id), nowNanos, outbox);
         decidePlacement(placements.probeEnded(id, false), nowNanos, outbox);
         dispatchWaiting(nowNanos, outbox);
     }
@@ -339,10 +351,15 @@
     }
 
     private void retryOrRefuse(CallState call, long nowNanos, Outbox outbox) {
-        if (suspects.mayRepeat(call, nowNanos) && retries.takeRetry(call, nowNanos)) {
+        boolean mayRepeat = suspects.mayRepeat(call, nowNanos);
+        // While the instance is cut off, another server would not be reached either.
+        if (mayRepeat && detour.isCutOff() && calls.passOn(call, nowNanos, outbox)) {
+            return;
+        }
+        if (mayRepeat && retries.takeRetry(call, nowNanos)) {
             call.retriesLeft--;
             admit(call, nowNanos, outbox);
-        } else {
+        } else if (!mayRepeat || !calls.passOn(call, nowNanos, outbox)) {
             calls.refuse(call, CallCompletion.reasonOf(call.lastFailure), 0, outbox);
         }
     }
--- a/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
@@ -35,6 +35,9 @@
 
     /** Refuses a call for which the last choice found no server, and waiting would not help. */
     void refuseWithoutServer(CallState call, long nowNanos, Outbox outbox) {
+        if (calls.passOn(call, nowNanos, outbox)) {
+            return;
+        }
         if (!pool.rateLimitWait().isNeeded()) {
             calls.refuse(call, CallCompletion.reasonWithoutServer(call), 0, outbox);
             return;
--- a/core/src/main/java/org/snipeslip/core/call/ShardCalls.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardCalls.java
@@ -10,10 +10,12 @@
 final class ShardCalls {
     private final Map<RequestId, CallState> calls = new HashMap<>();
     private final OpenCalls openCalls;
+    private final Detour detour;
     private final DecisionRecorder decisions;
 
-    ShardCalls(OpenCalls openCalls, DecisionRecorder decisions) {
+    ShardCalls(OpenCalls openCalls, Detour detour, DecisionRecorder decisions) {
         this.openCalls = openCalls;
+        this.detour = detour;
         this.decisions = decisions;
     }
 
@@ -40,6 +42,23 @@
         openCalls.remove(call.request);
     }
 
+    /**
+     * Passes a call to another instance if it has found no server that is reached from here.
+     *
+     * @return whether the call has left this shard
+     */
+    boolean passOn(CallState call, long nowNanos, Outbox outbox) {
+        boolean unreached =
+                call.lastFailure != null
+                        && CallCompletion.reasonOf(call.lastFailure)
+                                == RefusalReason.BACKEND_SERVER_UNREACHABLE;
+        if (!unreached || !detour.take(call, false, nowNanos, outbox)) {
+            return false;
+        }
+        calls.remove(call.request);
+        return true;
+    }
+
     void refuse(CallState call, RefusalReason reason, long retryAfterMillis, Outbox outbox) {
         refuse(call, CallCompletion.refusal(call, reason, retryAfterMillis), outbox);
     }
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -1,9 +1,11 @@
 package org.snipeslip.core.instance;
 
 import org.snipeslip.core.call.DecisionRecord;
+import org.snipeslip.core.call.Handover;
 import org.snipeslip.core.call.Refusal;
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
+import org.snipeslip.core.detour.LinkChange;
 import org.snipeslip.core.discovery.ConfigOrigin;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.id.BackendServerId;
@@ -24,7 +26,7 @@
 /** An effect that the runtime must execute on behalf of the state machine. */
 public sealed interface Action {
     /**
-     * Sends a call to a backend server.
+     * Sends a call to a backend server, or to another instance that sends it to one.
      *
      * @param tryId identifies the try
      * @param service the service
@@ -32,6 +34,7 @@
      * @param remainingNanos time left until the deadline of the call
      * @param retriesLeft retry budget, passed on in the request
      * @param keepAnswer whether {@link Event.TryCompleted} must contain the response
+     * @param handover what to state if the target is another instance, or null
      */
     record SendTry(
             TryId tryId,
@@ -39,8 +42,20 @@
             BackendServer target,
             long remainingNanos,
             int retriesLeft,
-            boolean keepAnswer)
-            implements Action {}
+            boolean keepAnswer,
+            Handover handover)
+            implements Action {
+        /** Sends a call to a backend server. */
+        public SendTry(
+                TryId tryId,
+                ServiceId service,
+                BackendServer target,
+                long remainingNanos,
+                int retriesLeft,
+                boolean keepAnswer) {
+            this(tryId, service, target, remainingNanos, retriesLeft, keepAnswer, null);
+        }
+    }
 
     /**
      * Cancels a try; its connection must not be reused unless nothing was sent on it.
@@ -239,4 +254,30 @@
      * @param asks how many instances were asked, this one included
      */
     record AskSuspicion(String address, SuspectQuestion question, int asks) implements Action {}
+
+    /**
+     * Tries to reach a backend server on a new connection; the result is reported as {@link
+     * Event.LinkTested}.
+     *
+     * @param service the service
+     * @param target the backend server
+     * @param path path of a probe request
+     */
+    record TestLink(ServiceId service, BackendServer target, String path) implements Action {}
+
+    /**
+     * Reports a change of what is believed about the links to the backend servers, for the log.
+     *
+     * @param change the change
+     */
+    record LinksChanged(LinkChange change) implements Action {}
+
+    /**
+     * Asks another instance whether it would send calls to backend servers for this one; the answer
+     * is reported as {@link Event.DetourAnswered}.
+     *
+     * @param address address of the instance, IP:PORT
+     * @param version version of the configuration that it must have
+     */
+    record AskDetour(String address, long version) implements Action {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -18,6 +18,7 @@
 import org.snipeslip.core.suspect.SuspectAnswer;
 import org.snipeslip.core.suspect.SuspectChange;
 import org.snipeslip.core.suspect.SuspectMessage;
+import org.snipeslip.core.suspect.SuspectPeer;
 import org.snipeslip.core.suspect.SuspectQuestion;
 import org.snipeslip.core.suspect.SuspectSharing;
 import org.snipeslip.core.suspect.SuspectTable;
@@ -68,7 +69,7 @@
         Object message;
         while ((message = outbox.pollEngineMessage()) != null) {
             if (message instanceof Action.ConfigAdopted adopted) {
-                adopt(adopted.config(), nowNanos, outbox);
+                adopt(adopted, nowNanos, outbox);
             } else if (message instanceof Action.SuspicionChanged changed
                     && changed.change().source() != SuspectChange.Source.INSTANCE) {
                 sharing.share(changed.change(), nowNanos, outbox);
@@ -142,6 +143,25 @@
         return suspects.verdict(digest, nowNanos);
     }
 
+    /**
+     * Returns whether another instance may pass calls to this one.
+     *
+     * @param version version of the configuration that is needed
+     * @return true if the instance is ready and reaches backend servers
+     */
+    public boolean acceptsPassedCalls(long version) {
+        return isReady() && calls.acceptsPassedCalls(version);
+    }
+
+    /**
+     * Returns whether this instance reaches no backend server.
+     *
+     * @return true if calls are passed to other instances
+     */
+    public boolean isCutOff() {
+        return calls.isCutOff();
+    }
+
     /**
      * Returns how many other instances are known.
      *
@@ -217,12 +237,15 @@
             share = next;
             calls.setInstanceShare(next);
         }
-        sharing.setPeers(discovery.otherInstances());
+        List<SuspectPeer> others = discovery.otherInstances();
+        sharing.setPeers(others);
+        calls.setPeers(others);
     }
 
-    private synchronized void adopt(ConfigSet config, long nowNanos, Outbox outbox) {
+    private synchronized void adopt(Action.ConfigAdopted adopted, long nowNanos, Outbox outbox) {
+        ConfigSet config = adopted.config();
         if (config.generation().isNewerThan(inForce.generation())) {
-            calls.configure(config, nowNanos, outbox);
+            calls.configure(config, adopted.origin().version(), nowNanos, outbox);
             inForce = config;
         }
     }
--- a/core/src/main/java/org/snipeslip/core/instance/EngineName.java
+++ b/core/src/main/java/org/snipeslip/core/instance/EngineName.java
@@ -10,6 +10,8 @@
     IDEMPOTENCY,
     /** What instances tell one another about suspected requests. */
     SUSPECTS,
+    /** Links to the backend servers, and calls that other instances send meanwhile. */
+    DETOUR,
     /** The instance as a whole: start and stop. */
     INSTANCE
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Event.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Event.java
@@ -5,6 +5,7 @@
 import org.snipeslip.core.call.LoadReport;
 import org.snipeslip.core.call.ServerPresence;
 import org.snipeslip.core.call.TryFailure;
+import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.id.BackendServerId;
@@ -167,4 +168,20 @@
      * @param verdict the answer, or null if there was none in time
      */
     record SuspicionAnswered(Action.AskSuspicion asked, Verdict verdict) implements Event {}
+
+    /**
+     * A backend server was tried on a new connection.
+     *
+     * @param target the backend server
+     * @param reached whether there was a response, whatever it said
+     */
+    record LinkTested(BackendServer target, boolean reached) implements Event {}
+
+    /**
+     * Another instance was asked whether it would send calls for this one.
+     *
+     * @param address address of the instance
+     * @param willing whether it would; false also if there was no answer in time
+     */
+    record DetourAnswered(String address, boolean willing) implements Event {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -127,6 +127,8 @@
             case Event.ProbeFailed e -> calls.handle(e, nowNanos, outbox);
             case Event.RequestRead e -> calls.handle(e, nowNanos, outbox);
             case Event.ServerChecked e -> calls.handle(e, nowNanos, outbox);
+            case Event.LinkTested e -> calls.handle(e, nowNanos, outbox);
+            case Event.DetourAnswered e -> calls.handle(e, nowNanos, outbox);
             case Event.Started e -> {
                 outbox.add(membershipDelay.start());
                 control.handle(e, nowNanos, outbox);
--- a/server/src/main/java/org/snipeslip/server/http/BackendRequestBuilder.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendRequestBuilder.java
@@ -9,7 +9,10 @@
 import java.net.InetSocketAddress;
 import org.snipeslip.core.instance.Action;
 
-/** Builds the head of the request to a backend server from the caller's request. */
+/**
+ * Builds the head of the request to a backend server, or to another instance, from the caller's
+ * request.
+ */
 final class BackendRequestBuilder {
     private static final HttpString FORWARDED_FOR = new HttpString("X-Forwarded-For");
     private static final HttpString FORWARDED = new HttpString("Forwarded");
@@ -24,6 +27,7 @@
         HeaderMap headers = request.getRequestHeaders();
         HopByHop.copyEndToEnd(exchange.getRequestHeaders(), headers);
         headers.remove(Headers.EXPECT);
+        headers.remove(SnipeslipHeaders.HANDOVER);
         if (!headers.contains(Headers.HOST)) {
             headers.put(Headers.HOST, BackendConnectionPool.authority(action.target()));
         }
@@ -32,7 +36,9 @@
         }
         HttpDialect dialect = relay.dialect();
         headers.put(dialect.deadlineMillis(), remainingMillis);
-        if (dialect.expectedServer() != null) {
+        if (action.handover() != null) {
+            headers.put(SnipeslipHeaders.HANDOVER, HandoverHeader.encode(action.handover()));
+        } else if (dialect.expectedServer() != null) {
             headers.put(dialect.expectedServer(), action.target().id().value());
         }
         if (!dialect.callerSetsRequestId()) {
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -16,9 +16,9 @@
 import org.xnio.XnioExecutor;
 
 /**
- * One try of a call at one backend server: it connects, sends the request and reads the response
- * head. {@link ResponseRelay} then relays the response. All methods run on the exchange's I/O
- * thread.
+ * One try of a call at one backend server, or at another instance: it connects, sends the request
+ * and reads the response head. {@link ResponseRelay} then relays the response. All methods run on
+ * the exchange's I/O thread.
  */
 final class BackendTry {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -291,7 +291,9 @@
     }
 
     private boolean isFromAnotherServer(int status) {
-        return status == MISDIRECTED_REQUEST && relay.dialect().expectedServer() != null;
+        return status == MISDIRECTED_REQUEST
+                && relay.dialect().expectedServer() != null
+                && action.handover() == null;
     }
 
     private void fail(TryFailure failure, LoadReport load) {
--- a/server/src/main/java/org/snipeslip/server/http/CallEnvironment.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallEnvironment.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import org.snipeslip.core.call.Outcome;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.server.log.CallLog;
 import org.snipeslip.server.operator.CallResult;
@@ -14,18 +15,21 @@
     private final InstanceMetrics metrics;
     private final CallerConnections callers;
     private final HttpDialect dialect;
+    private final boolean servesInstances;
 
     CallEnvironment(
             CallEventHandler eventHandler,
             BackendConnectionPool connections,
             InstanceMetrics metrics,
             CallerConnections callers,
-            HttpDialect dialect) {
+            HttpDialect dialect,
+            boolean servesInstances) {
         this.eventHandler = eventHandler;
         this.connections = connections;
         this.metrics = metrics;
         this.callers = callers;
         this.dialect = dialect;
+        this.servesInstances = servesInstances;
     }
 
     HttpDialect dialect() {
@@ -44,6 +48,21 @@
         return metrics;
     }
 
+    /** Returns whether the calls come from other instances that pass them on. */
+    boolean servesInstances() {
+        return servesInstances;
+    }
+
+    /**
+     * Marks a refusal for the instance that has passed the call, which may then pass it to another
+     * one.
+     */
+    void completeRefusalHead(HttpServerExchange exchange, Outcome outcome) {
+        if (servesInstances && outcome == Outcome.NOT_RUN) {
+            exchange.getResponseHeaders().put(dialect.notRun(), "1");
+        }
+    }
+
     /** Logs the end of a call if the dialect enables it. */
     void logCallEnd(
             RequestId request,
--- a/server/src/main/java/org/snipeslip/server/http/CallHandler.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHandler.java
@@ -2,10 +2,12 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.snipeslip.core.call.CallHead;
+import org.snipeslip.core.call.Handover;
 import org.snipeslip.core.call.Outcome;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.instance.Event;
@@ -14,6 +16,9 @@
 
 /** Validates each request on the caller port and starts a call in the state machine. */
 public final class CallHandler implements HttpHandler {
+    /** Present in the calls that other instances pass on. */
+    public static final HttpString HANDOVER = SnipeslipHeaders.HANDOVER;
+
     private final CallEnvironment environment;
     private final CallerConnections callers;
     private final Supplier<CallLimits> limits;
@@ -33,6 +38,7 @@
      *     read only once
      * @param dialect header fields of calls
      * @param requestIdPrefix prefix that is unique across instances and restarts
+     * @param servesInstances whether the calls come from other instances that pass them on
      */
     public CallHandler(
             CallEventHandler eventHandler,
@@ -41,9 +47,11 @@
             InstanceMetrics metrics,
             Supplier<CallLimits> limits,
             HttpDialect dialect,
-            String requestIdPrefix) {
+            String requestIdPrefix,
+            boolean servesInstances) {
         this.environment =
-                new CallEnvironment(eventHandler, connections, metrics, callers, dialect);
+                new CallEnvironment(
+                        eventHandler, connections, metrics, callers, dialect, servesInstances);
         this.callers = callers;
         this.limits = limits;
         this.validator = new RequestValidator(limits, dialect);
@@ -56,19 +64,32 @@
         CallerConnections.Entry caller = callers.requestStarted(exchange);
         RequestId request = requestId(exchange);
         RequestFault fault = validator.validate(exchange);
-        if (fault == null) {
+        Handover handover = null;
+        if (environment.servesInstances()) {
+            handover =
+                    HandoverHeader.decode(
+                            exchange.getRequestHeaders().getFirst(SnipeslipHeaders.HANDOVER));
+            fault = fault == null && handover == null ? RequestFault.INVALID_HANDOVER : fault;
+        }
+        Handover stated = handover;
+        RequestFault found = fault;
+        if (found == null) {
             exchange.dispatch(
-                    SameThreadExecutor.INSTANCE, () -> startCall(exchange, request, caller));
+                    SameThreadExecutor.INSTANCE,
+                    () -> startCall(exchange, request, caller, stated));
         } else {
             exchange.dispatch(
-                    SameThreadExecutor.INSTANCE, () -> refuseRequest(exchange, request, fault));
+                    SameThreadExecutor.INSTANCE, () -> refuseRequest(exchange, request, found));
         }
     }
 
     private void startCall(
-            HttpServerExchange exchange, RequestId request, CallerConnections.Entry caller) {
+            HttpServerExchange exchange,
+            RequestId request,
+            CallerConnections.Entry caller,
+            Handover handover) {
         RequestBody body = new RequestBody(exchange, bodyMemoryBudget, limits.get().maxBodyBytes());
-        CallHead head = CallHeadParser.parse(exchange, environment.dialect(), body);
+        CallHead head = CallHeadParser.parse(exchange, environment.dialect(), body, handover);
         CallRelay relay = new CallRelay(request, exchange, head.depth(), body, environment);
         environment.metrics().callArrived();
         relay.watchCaller(caller);
@@ -80,6 +101,7 @@
         environment.metrics().callEnded(CallResult.REFUSED);
         environment.metrics().callRefused(fault.reason());
         environment.completeResponseHead(exchange, request, false);
+        environment.completeRefusalHead(exchange, Outcome.NOT_RUN);
         ProblemJson.send(exchange, request, fault, Outcome.NOT_RUN);
     }
 
--- a/server/src/main/java/org/snipeslip/server/http/CallHeadParser.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHeadParser.java
@@ -10,6 +10,7 @@
 import java.util.HexFormat;
 import java.util.Locale;
 import org.snipeslip.core.call.CallHead;
+import org.snipeslip.core.call.Handover;
 import org.snipeslip.core.id.IdempotencyKey;
 import org.snipeslip.core.id.OrganisationId;
 
@@ -19,7 +20,13 @@
 
     private CallHeadParser() {}
 
-    static CallHead parse(HttpServerExchange exchange, HttpDialect dialect, RequestBody body) {
+    /**
+     * Converts a head.
+     *
+     * @param handover what another instance states that has passed the call, or null
+     */
+    static CallHead parse(
+            HttpServerExchange exchange, HttpDialect dialect, RequestBody body, Handover handover) {
         HeaderMap headers = exchange.getRequestHeaders();
         boolean hasCallTree = dialect.propagatesCallTree();
         String organisation =
@@ -36,9 +43,17 @@
                 key == null ? "" : fingerprint(exchange, method, path),
                 numericHeader(headers, dialect.deadlineMillis(), 0) * NANOS_PER_MILLI,
                 hasCallTree ? (int) numericHeader(headers, SnipeslipHeaders.DEPTH, 0) : 0,
-                hasCallTree ? (int) numericHeader(headers, SnipeslipHeaders.RETRIES_LEFT, -1) : -1,
+                retriesLeft(headers, hasCallTree, handover),
                 body.isReplayable(),
-                new HttpRequestIdentity(exchange, body));
+                new HttpRequestIdentity(exchange, body),
+                handover);
+    }
+
+    private static int retriesLeft(HeaderMap headers, boolean hasCallTree, Handover handover) {
+        if (handover != null) {
+            return handover.retriesLeft();
+        }
+        return hasCallTree ? (int) numericHeader(headers, SnipeslipHeaders.RETRIES_LEFT, -1) : -1;
     }
 
     /**
--- a/server/src/main/java/org/snipeslip/server/http/CallRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallRelay.java
@@ -234,6 +234,7 @@
             return;
         }
         cancelAll();
+        environment.completeRefusalHead(exchange, refusal.outcome());
         if (started) {
             Responses.resetConnection(exchange);
         } else if (body.fault() != null) {
--- a/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
@@ -70,9 +70,9 @@
      */
     public void send(Action.SendProbe action) {
         if (Thread.currentThread() == ioThread) {
-            new Probe(action, false).start();
+            new Probe(action, Purpose.LOAD).start();
         } else {
-            ioThread.execute(() -> new Probe(action, false).start());
+            ioThread.execute(() -> new Probe(action, Purpose.LOAD).start());
         }
     }
 
@@ -85,7 +85,29 @@
     public void check(Action.CheckServer action) {
         Action.SendProbe probe =
                 new Action.SendProbe(action.service(), action.target(), action.path());
-        ioThread.execute(() -> new Probe(probe, true).start());
+        ioThread.execute(() -> new Probe(probe, Purpose.PRESENCE).start());
+    }
+
+    /**
+     * Tries to reach a server on a new connection. May be called on any thread; the result is
+     * reported on the I/O thread as {@link Event.LinkTested}.
+     *
+     * @param action server and path to try it with
+     */
+    public void test(Action.TestLink action) {
+        Action.SendProbe probe =
+                new Action.SendProbe(action.service(), action.target(), action.path());
+        ioThread.execute(() -> new Probe(probe, Purpose.LINK).start());
+    }
+
+    /** What a probe is to show. */
+    private enum Purpose {
+        /** The load of a server, on a connection that calls use. */
+        LOAD,
+        /** Whether a server is running, on a connection of its own. */
+        PRESENCE,
+        /** Whether any server at the address is reached, on a connection of its own. */
+        LINK
     }
 
     /** One probe, which reports exactly one event. */
@@ -93,16 +115,16 @@
             implements BackendConnectionPool.Listener, SimpleHttpExchange.Listener {
         private final Action.SendProbe action;
 
-        /** Whether only the presence of the server is of interest. */
-        private final boolean check;
+        private final Purpose purpose;
 
         private XnioExecutor.Key timeout;
         private ClientConnection connection;
         private boolean ended;
+        private boolean responded;
 
-        Probe(Action.SendProbe action, boolean check) {
+        Probe(Action.SendProbe action, Purpose purpose) {
             this.action = action;
-            this.check = check;
+            this.purpose = purpose;
         }
 
         void start() {
@@ -111,7 +133,7 @@
                             () -> fail(ServerPresence.UNKNOWN),
                             TIMEOUT_MILLIS,
                             TimeUnit.MILLISECONDS);
-            if (check) {
+            if (purpose != Purpose.LOAD) {
                 connections.open(action.target(), ioThread, this);
             } else {
                 connections.acquire(action.target(), ioThread, this);
@@ -147,11 +169,12 @@
 
         @Override
         public void responseReceived(ClientResponse response, String body) {
+            responded = true;
             HeaderMap headers = response.getResponseHeaders();
             String loadValue = headers.getFirst(dialect.load());
             LoadReport load = dialect.readLoad(headers);
             boolean ok = response.getResponseCode() == OK;
-            if (check
+            if (purpose != Purpose.LOAD
                     || !load.isKnown()
                     || !isFromTarget(headers)
                     || !ok && dialect.serverName() == null) {
@@ -194,9 +217,11 @@
                 ServiceId service = action.service();
                 BackendServerId server = action.target().id();
                 events.accept(
-                        check
-                                ? new Event.ServerChecked(service, server, presence)
-                                : new Event.ProbeFailed(service, server));
+                        switch (purpose) {
+                            case LOAD -> new Event.ProbeFailed(service, server);
+                            case PRESENCE -> new Event.ServerChecked(service, server, presence);
+                            case LINK -> new Event.LinkTested(action.target(), responded);
+                        });
             }
         }
 
--- a/server/src/main/java/org/snipeslip/server/http/RequestFault.java
+++ b/server/src/main/java/org/snipeslip/server/http/RequestFault.java
@@ -21,6 +21,8 @@
     OBSOLETE_LINE_FOLDING(StatusCodes.BAD_REQUEST),
     /** A numeric header field of this project that is repeated, not a number or out of range. */
     INVALID_NUMBER(StatusCodes.BAD_REQUEST),
+    /** A field of another instance that has another form than {@link HandoverHeader}. */
+    INVALID_HANDOVER(StatusCodes.BAD_REQUEST),
     /** The chunked coding of the body is malformed. */
     MALFORMED_BODY(StatusCodes.BAD_REQUEST),
     /** An Expect header other than a single 100-continue. */
--- a/server/src/main/java/org/snipeslip/server/http/SnipeslipHeaders.java
+++ b/server/src/main/java/org/snipeslip/server/http/SnipeslipHeaders.java
@@ -31,5 +31,8 @@
     /** Marks a replayed response: "1" with its complete body, "0" if the body was not recorded. */
     public static final HttpString REPLAYED = new HttpString("Snipeslip-Replayed");
 
+    /** Set by an instance that passes a call to another one; see {@link HandoverHeader}. */
+    static final HttpString HANDOVER = new HttpString("Snipeslip-Handover");
+
     private SnipeslipHeaders() {}
 }
--- a/server/src/main/java/org/snipeslip/server/log/DecisionFields.java
+++ b/server/src/main/java/org/snipeslip/server/log/DecisionFields.java
@@ -25,6 +25,7 @@
         putText(fields, "service", decision.service());
         fields.put("try", decision.tryNumber());
         putText(fields, "chosen", decision.chosen());
+        putText(fields, "passedTo", decision.passedTo());
         if (decision.refusal() != null) {
             fields.put("reason", decision.refusal().reason().text());
             fields.put("outcome", decision.refusal().outcome().text());
--- a/server/src/main/java/org/snipeslip/server/operator/InstanceMetrics.java
+++ b/server/src/main/java/org/snipeslip/server/operator/InstanceMetrics.java
@@ -22,6 +22,7 @@
     private final Counter tries = registry.counter(PREFIX + "tries_total");
     private final Counter rateLimitChanges = registry.counter(PREFIX + "rate_limit_changes_total");
     private final Counter suspicionChanges = registry.counter(PREFIX + "suspicion_changes_total");
+    private final Counter linkChanges = registry.counter(PREFIX + "link_changes_total");
     private final Counter storeRestorations = registry.counter(PREFIX + "store_restorations_total");
     private final Counter storeCalls = registry.counter(PREFIX + "object_api_calls_total");
     private final Counter storeFailures = registry.counter(PREFIX + "object_api_failures_total");
@@ -66,6 +67,11 @@
         suspicionChanges.inc();
     }
 
+    /** Counts a change of what is believed about the links to the backend servers. */
+    public void linksChanged() {
+        linkChanges.inc();
+    }
+
     /** Counts a restoration of the store from a copy. */
     public void storeRestored() {
         storeRestorations.inc();
--- a/server/src/main/java/org/snipeslip/server/runtime/CallProxy.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/CallProxy.java
@@ -106,6 +106,20 @@
      */
     CallHandler createHandler(
             StateMachineDriver driver, Supplier<CallLimits> limits, String requestIdPrefix) {
+        return createHandler(driver, limits, requestIdPrefix, false);
+    }
+
+    /** Creates the HTTP handler for the calls that other instances pass on. */
+    CallHandler createInstanceHandler(
+            StateMachineDriver driver, Supplier<CallLimits> limits, String requestIdPrefix) {
+        return createHandler(driver, limits, requestIdPrefix, true);
+    }
+
+    private CallHandler createHandler(
+            StateMachineDriver driver,
+            Supplier<CallLimits> limits,
+            String requestIdPrefix,
+            boolean servesInstances) {
         return new CallHandler(
                 driver,
                 backendConnectionPool,
@@ -113,7 +127,8 @@
                 metrics,
                 limits,
                 dialect,
-                requestIdPrefix);
+                requestIdPrefix,
+                servesInstances);
     }
 
     /**
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -24,6 +24,7 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.DiscoveryInstance;
 import org.snipeslip.core.instance.Event;
+import org.snipeslip.server.http.CallHandler;
 import org.snipeslip.server.http.CallLimits;
 import org.snipeslip.server.http.CallerListener;
 import org.snipeslip.server.http.SimpleHttpClient;
@@ -47,6 +48,9 @@
     private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long IDLE_CLEANUP_PERIOD_MILLIS = 5_000;
 
+    /** More than the field that an instance adds to a call that it passes on. */
+    private static final int HANDOVER_HEADER_BYTES = 256;
+
     /** Time for the last responses to reach their callers on close. */
     private static final long OPEN_CALLS_TIMEOUT_MILLIS = 300;
 
@@ -65,6 +69,8 @@
     private final PeerFeed peerFeed;
 
     private final SuspectLink.Http suspectLink;
+    private final DetourLink.Http detourLink;
+    private final HttpHandler passedCallHandler;
     private final Undertow peerServer;
 
     /** Null if the settings turn the warm-up off. */
@@ -123,13 +129,21 @@
                         },
                         this::stopAccepting,
                         this::finishStop);
+        InstanceClient instanceClient = new InstanceClient(client);
         suspectLink =
                 new SuspectLink.Http(
-                        client,
+                        instanceClient,
                         message -> driver.handle(new Event.SuspectMessageReceived(message)),
                         instance::suspicionsFor,
                         digest -> instance.verdictOn(digest, System.nanoTime()));
         driver.setSuspectLink(suspectLink);
+        detourLink = new DetourLink.Http(instanceClient, this::acceptsPassedCalls);
+        driver.setDetourLink(detourLink);
+        passedCallHandler =
+                proxy.createInstanceHandler(
+                        driver,
+                        this::passedCallLimits,
+                        settings.discovery().instance().value() + "-passed");
         registerGauges();
         jvmWarmup = settings.warmsUpJvm() ? new JvmWarmup(settings, worker, buffers) : null;
         readinessServer =
@@ -249,20 +263,41 @@
                 Undertow.builder()
                         .setWorker(worker)
                         .setByteBufferPool(buffers)
-                        .setHandler(
-                                exchange -> {
-                                    if (exchange.getRequestPath().equals(SuspectLink.PATH)) {
-                                        suspectLink.handleRequest(exchange);
-                                    } else {
-                                        peerFeed.handleRequest(exchange);
-                                    }
-                                })
+                        .setHandler(this::handleInstance)
                         .addHttpListener(address.getPort(), address.getHostString())
                         .build();
         server.start();
         return server;
     }
 
+    /** Handles a request of another instance. */
+    private void handleInstance(HttpServerExchange exchange) throws Exception {
+        if (exchange.getRequestHeaders().contains(CallHandler.HANDOVER)) {
+            passedCallHandler.handleRequest(exchange);
+            return;
+        }
+        switch (exchange.getRequestPath()) {
+            case SuspectLink.PATH -> suspectLink.handleRequest(exchange);
+            case DetourLink.PATH -> detourLink.handleRequest(exchange);
+            default -> peerFeed.handleRequest(exchange);
+        }
+    }
+
+    private boolean acceptsPassedCalls(long version) {
+        return isReady() && instance.acceptsPassedCalls(version);
+    }
+
+    /** The other instance has checked the caller's fields, and has added one of its own. */
+    private CallLimits passedCallLimits() {
+        CallLimits limits = currentLimits();
+        return new CallLimits(
+                limits.maxHeaderBytes() + HANDOVER_HEADER_BYTES,
+                limits.maxUriBytes(),
+                limits.maxBodyBytes(),
+                limits.maxReplayableBodyBytes(),
+                limits.maxReplayableBodiesTotalBytes());
+    }
+
     private HttpHandler endWarmupOnFirstCall(HttpHandler next) {
         return jvmWarmup == null
                 ? next
@@ -332,6 +367,7 @@
         proxy.registerGauges(instance::configInForce, decisionLog);
         proxy.metrics().registerGauge("other_instances", instance::otherInstanceCount);
         proxy.metrics().registerGauge("suspected_requests", instance::suspectCount);
+        proxy.metrics().registerGauge("links_cut_off", () -> instance.isCutOff() ? 1 : 0);
         proxy.metrics().registerGauge("follows_peer", () -> instance.followsPeer() ? 1 : 0);
         proxy.metrics()
                 .registerGauge(
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -1,6 +1,7 @@
 package org.snipeslip.server.runtime;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
@@ -13,6 +14,8 @@
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.Service;
+import org.snipeslip.core.detour.LinkChange;
+import org.snipeslip.core.detour.LinkState;
 import org.snipeslip.core.discovery.ConfigOrigin;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
@@ -35,6 +38,7 @@
  */
 public final class StateMachineDriver implements CallEventHandler {
     private static final Logger LOG = LoggerFactory.getLogger(StateMachineDriver.class);
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final StateMachine stateMachine;
     private final StoreClient storeClient;
@@ -47,6 +51,7 @@
     private final Consumer<Action.FinishStop> onFinishStop;
     private final Map<RequestId, CallRelay> relays = new ConcurrentHashMap<>();
     private volatile SuspectLink suspectLink = SuspectLink.NONE;
+    private volatile DetourLink detourLink = DetourLink.NONE;
     private volatile boolean closed;
 
     StateMachineDriver(
@@ -98,6 +103,11 @@
         suspectLink = link;
     }
 
+    /** Sets the link to other instances that can send calls for this one. */
+    void setDetourLink(DetourLink link) {
+        detourLink = link;
+    }
+
     /** Ignores all further events, such as those caused by connections that are being closed. */
     void close() {
         closed = true;
@@ -130,6 +140,12 @@
                 case Action.RateLimitChanged a -> logRateLimit(a);
                 case Action.StoreRestored a -> logStoreRestored(a);
                 case Action.CheckServer a -> probeSender.check(a);
+                case Action.TestLink a -> probeSender.test(a);
+                case Action.LinksChanged a -> logLinks(a.change());
+                case Action.AskDetour a ->
+                        detourLink.ask(
+                                a,
+                                willing -> handle(new Event.DetourAnswered(a.address(), willing)));
                 case Action.SuspicionChanged a -> SuspectLog.log(a.change(), metrics);
                 case Action.SendSuspectMessage a ->
                         suspectLink.send(
@@ -196,6 +212,17 @@
                 .log("store was restored from a copy; everything is read again");
     }
 
+    private void logLinks(LinkChange change) {
+        metrics.linksChanged();
+        LoggingEventBuilder line = change.now() == LinkState.CUT_OFF ? LOG.atWarn() : LOG.atInfo();
+        line.addKeyValue("before", change.before().name().toLowerCase(Locale.ROOT))
+                .addKeyValue("now", change.now().name().toLowerCase(Locale.ROOT))
+                .addKeyValue("unreachable", change.unreachable())
+                .addKeyValue("failureDomains", change.failureDomains())
+                .addKeyValue("silentMillis", change.silentNanos() / NANOS_PER_MILLI)
+                .log("links to the backend servers");
+    }
+
     private static String textOf(RateLimit limit) {
         return switch (limit) {
             case RateLimit.Unknown unknown -> "unknown";
--- a/server/src/main/java/org/snipeslip/server/runtime/SuspectLink.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/SuspectLink.java
@@ -4,13 +4,9 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
-import java.io.IOException;
-import java.net.URI;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.UnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snipeslip.core.id.RegionId;
@@ -18,9 +14,6 @@
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.suspect.SuspectMessage;
 import org.snipeslip.core.suspect.Verdict;
-import org.snipeslip.server.http.SimpleHttpClient;
-import org.snipeslip.server.http.SimpleHttpListener;
-import org.snipeslip.server.http.SimpleHttpRequest;
 
 /**
  * Sends messages about suspected requests to other instances, and answers theirs: {@code POST
@@ -64,21 +57,13 @@
     final class Http implements SuspectLink, HttpHandler {
         private static final Logger LOG = LoggerFactory.getLogger(SuspectLink.class);
 
-        /** Ten round trips to another region. */
-        private static final long TIMEOUT_MILLIS = 300;
-
-        private static final int OK = 200;
-
-        /** Messages are rare; idle connections to all instances would take memory. */
-        private static final Map<String, String> HEADERS = Map.of("Connection", "close");
-
-        private final SimpleHttpClient client;
+        private final InstanceClient client;
         private final Consumer<SuspectMessage> received;
         private final Function<RegionId, List<SuspectMessage>> known;
         private final Function<RequestDigest, Verdict> verdicts;
 
         Http(
-                SimpleHttpClient client,
+                InstanceClient client,
                 Consumer<SuspectMessage> received,
                 Function<RegionId, List<SuspectMessage>> known,
                 Function<RequestDigest, Verdict> verdicts) {
@@ -91,13 +76,13 @@
         @Override
         public void send(Action.SendSuspectMessage action, Consumer<Boolean> ended) {
             String target = PATH + "?" + SuspectCodec.encode(action.message());
-            request(action.address(), "POST", target, body -> ended.accept(body != null));
+            client.send(action.address(), "POST", target, body -> ended.accept(body != null));
         }
 
         @Override
         public void ask(Action.AskSuspicion action, Consumer<Verdict> answered) {
             String target = PATH + "?" + SuspectCodec.encode(action.question());
-            request(
+            client.send(
                     action.address(),
                     "GET",
                     target,
@@ -116,7 +101,7 @@
         @Override
         public void pull(Action.PullSuspicions action, Consumer<List<SuspectMessage>> told) {
             String target = PATH + "?" + SuspectCodec.encode(action.region());
-            request(action.address(), "GET", target, body -> tellDecoded(action, body, told));
+            client.send(action.address(), "GET", target, body -> tellDecoded(action, body, told));
         }
 
         private static void tellDecoded(
@@ -131,27 +116,6 @@
             }
         }
 
-        /** Sends a request; the consumer gets the body of a good response, or null. */
-        private void request(String address, String method, String target, Consumer<String> end) {
-            client.send(
-                    new SimpleHttpRequest(
-                            URI.create("http://" + address), method, target, HEADERS, ""),
-                    TIMEOUT_MILLIS,
-                    new SimpleHttpListener() {
-                        @Override
-                        public void responseReceived(
-                                int status, UnaryOperator<String> header, String body) {
-                            end.accept(status == OK ? body : null);
-                        }
-
-                        @Override
-                        public void failed(boolean sent, IOException cause) {
-                            LOG.debug("instance {} was not reached", address, cause);
-                            end.accept(null);
-                        }
-                    });
-        }
-
         @Override
         public void handleRequest(HttpServerExchange exchange) {
             try {
--- a/server/src/test/java/org/snipeslip/server/http/HttpFixture.java
+++ b/server/src/test/java/org/snipeslip/server/http/HttpFixture.java
@@ -56,7 +56,8 @@
                                 new InstanceMetrics(),
                                 () -> LIMITS,
                                 dialect,
-                                "entry-1"));
+                                "entry-1",
+                                false));
     }
 
     RawSocket caller() throws IOException {
