Count a server as gone only if another one is reached

What callers would see: while an instance has lost its links, or only new connections are refused, calls whose connections are reset are innocent, but their servers look gone. After three of them the request was refused with 503 at all instances.

An instance whose own links are refused sees the same of every server, and tells the others. It is the same class of fault: an instance takes its own view for everyone's.

Change: each check goes with one of another server, the one that has answered last; up to three are tried. Only if one is reached does the first count as gone. A service with one server has none to compare with, and is judged as before.

Result: SuspectedCallTest.serverIsGoneOnlyIfAnotherOneIsReached is new; its first two cases contradict the code before.

--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -64,7 +64,7 @@
         this.decisions = new DecisionRecorder(service);
         this.calls = new ShardCalls(openCalls, detour, decisions);
         this.admission = new ShardAdmission(pool, queue, calls, decisions);
-        this.suspects = new ShardSuspects(service, location.region(), probes, suspectTable);
+        this.suspects = new ShardSuspects(service, location.region(), pool, probes, suspectTable);
         this.sender =
                 new ShardSender(
                         service,
--- a/core/src/main/java/org/snipeslip/core/call/ShardSuspects.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardSuspects.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.id.RequestDigest;
@@ -18,13 +20,17 @@
 
 /**
  * Finds out which requests crash the servers of one service. A lost connection is evidence only if
- * the server proves to be gone; a reset, a broken answer or a server that is silent is not. Guarded
- * by the shard's lock.
+ * the server proves to be gone; a reset, a broken answer or a server that is silent is not. A
+ * server that refuses connections is gone only if another one accepts them: otherwise this instance
+ * may have lost its links. Guarded by the shard's lock.
  */
 final class ShardSuspects {
     /** A connection that is accepted while the server crashes says nothing. */
     private static final int MAX_CHECKS = 3;
 
+    /** Other servers that are tried before a server counts as gone; some may have crashed too. */
+    private static final int MAX_CONTROLS = 3;
+
     /** Calls that one crash may put under suspicion; a server runs fewer at a time. */
     private static final int MAX_LOST_PER_SERVER = 64;
 
@@ -32,11 +38,21 @@
 
     private final ServiceId service;
     private final RegionId region;
+    private final ServerPool pool;
     private final ShardProbes probes;
     private final SuspectTable table;
     private final Map<BackendServerId, Check> checks = new HashMap<>();
 
-    ShardSuspects(ServiceId service, RegionId region, ShardProbes probes, SuspectTable table) {
+    /** Checks of servers that may be gone, by the other server that is tried now. */
+    private final Map<BackendServerId, List<Check>> controls = new HashMap<>();
+
+    ShardSuspects(
+            ServiceId service,
+            RegionId region,
+            ServerPool pool,
+            ShardProbes probes,
+            SuspectTable table) {
+        this.pool = pool;
         this.service = service;
         this.region = region;
         this.probes = probes;
@@ -150,14 +166,20 @@
             check = new Check(openTry.server);
             checks.put(openTry.serverId, check);
             send(check, outbox);
+            // At the same time, so that the third crash is not preceded by further ones.
+            control(check, nowNanos, outbox);
         }
         if (check.lost.size() < MAX_LOST_PER_SERVER) {
             check.lost.add(lost);
         }
     }
 
-    /** Handles the result of a check. */
+    /** Handles the result of a check, of a server that may be gone or of another one. */
     void checked(BackendServerId id, ServerPresence presence, long nowNanos, Outbox outbox) {
+        List<Check> controlled = controls.remove(id);
+        if (controlled != null) {
+            controlled.forEach(check -> controlled(check, presence, nowNanos, outbox));
+        }
         Check check = checks.get(id);
         if (check == null) {
             return;
@@ -167,11 +189,69 @@
             return;
         }
         checks.remove(id);
-        if (presence == ServerPresence.GONE) {
+        check.presence = presence;
+        conclude(check, nowNanos, outbox);
+    }
+
+    private void controlled(Check check, ServerPresence other, long nowNanos, Outbox outbox) {
+        check.otherReached |= other == ServerPresence.RUNNING;
+        if (!check.otherReached) {
+            control(check, nowNanos, outbox);
+        }
+        conclude(check, nowNanos, outbox);
+    }
+
+    private void conclude(Check check, long nowNanos, Outbox outbox) {
+        if (check.presence == ServerPresence.GONE && check.otherReached) {
             check.lost.forEach(lost -> crashed(lost, nowNanos, outbox));
+            check.lost.clear();
         }
     }
 
+    /** Tries another server, unless there is none, or too many were not reached. */
+    private void control(Check check, long nowNanos, Outbox outbox) {
+        if (pool.all().length <= 1) {
+            check.otherReached = true;
+            return;
+        }
+        ServerState other = check.controls < MAX_CONTROLS ? controlFor(check, nowNanos) : null;
+        if (other == null) {
+            return;
+        }
+        check.controls++;
+        List<Check> waiting = controls.get(other.server.id());
+        if (waiting != null) {
+            waiting.add(check);
+            return;
+        }
+        controls.put(other.server.id(), new ArrayList<>(List.of(check)));
+        outbox.add(new Action.CheckServer(service, other.server, probes.path()));
+    }
+
+    /** Returns the server that has answered last, apart from those that may be gone. */
+    private ServerState controlFor(Check check, long nowNanos) {
+        ServerState best = null;
+        for (ServerState candidate : pool.all()) {
+            boolean excluded =
+                    candidate == check.server
+                            || checks.containsKey(candidate.server.id())
+                            || check.controlled.contains(candidate.server.id());
+            if (!excluded && (best == null || answeredLater(candidate, best, nowNanos))) {
+                best = candidate;
+            }
+        }
+        if (best != null) {
+            check.controlled.add(best.server.id());
+        }
+        return best;
+    }
+
+    private static boolean answeredLater(ServerState a, ServerState b, long nowNanos) {
+        long ageOfA = a.load.reportAgeNanos(nowNanos);
+        long ageOfB = b.load.reportAgeNanos(nowNanos);
+        return ageOfA >= 0 && (ageOfB < 0 || ageOfA < ageOfB);
+    }
+
     /** Ends the suspicion of a call that a server has answered. */
     void answered(CallState call, int status, long nowNanos, Outbox outbox) {
         if (table.isEmpty() || status >= MIN_ERROR_STATUS) {
@@ -236,7 +316,15 @@
     private static final class Check {
         private final ServerState server;
         private final List<LostTries.Lost> lost = new ArrayList<>(2);
+        private final Set<BackendServerId> controlled = new HashSet<>();
         private int sent;
+        private int controls;
+
+        /** Whether another server was reached. */
+        private boolean otherReached;
+
+        /** What the check has shown, or null. */
+        private ServerPresence presence;
 
         Check(ServerState server) {
             this.server = server;
--- a/core/src/test/java/org/snipeslip/core/call/SuspectedCallTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/SuspectedCallTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -29,6 +31,11 @@
     private final SuspectTable table = new SuspectTable(1);
     private final CallEngine engine =
             new CallEngine(CallSettings.DEFAULT, REGION, new FailureDomainId("a1"), table, 1);
+    private final Set<BackendServerId> lost = new HashSet<>();
+
+    /** Servers that are tried although no try was lost there. */
+    private final List<BackendServerId> tried = new ArrayList<>();
+
     private long nowNanos = MILLI;
     private int calls;
 
@@ -63,6 +70,30 @@
         }
     }
 
+    /** Guards against innocent requests that are refused because this instance lost its links. */
+    @ParameterizedTest
+    @CsvSource({"GONE, false", "UNKNOWN, false", "RUNNING, true"})
+    void serverIsGoneOnlyIfAnotherOneIsReached(ServerPresence others, boolean evidence) {
+        configure();
+        Action.SendTry first = sent(arrive("GET"));
+        lose(first);
+        check(first.target().id(), ServerPresence.GONE, others);
+        assertThat(table.find(DIGEST) != null).isEqualTo(evidence);
+    }
+
+    /** Guards against a service of one server whose crashes are never counted. */
+    @Test
+    void onlyServerOfServiceIsGoneWithoutAnother() {
+        engine.configure(
+                DeploymentFixtures.config(1, DeploymentFixtures.servers(1, 2, "a1"), Set.of()),
+                nowNanos,
+                new Outbox());
+        Action.SendTry first = sent(arrive("GET"));
+        lose(first);
+        check(first.target().id(), ServerPresence.GONE);
+        assertThat(table.find(DIGEST).level()).isEqualTo(1);
+    }
+
     /** Guards against a chain of crashes that is not counted because checks end late. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
@@ -175,18 +206,36 @@
     }
 
     private List<Action> lose(Action.SendTry sent) {
+        lost.add(sent.target().id());
         return handle(
                 new Event.TryFailed(
                         sent.tryId(), TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN));
     }
 
+    /** Reports the result of a check; all other servers that are tried are running. */
     private void check(BackendServerId server, ServerPresence presence) {
+        check(server, presence, ServerPresence.RUNNING);
+    }
+
+    private void check(BackendServerId server, ServerPresence presence, ServerPresence others) {
+        report(server, presence);
+        while (!tried.isEmpty()) {
+            report(tried.removeFirst(), others);
+        }
+    }
+
+    private void report(BackendServerId server, ServerPresence presence) {
         handle(new Event.ServerChecked(DeploymentFixtures.SERVICE, server, presence));
     }
 
     private List<Action> handle(Event event) {
         Outbox outbox = new Outbox();
         engine.handle(event, nowNanos, outbox);
+        for (Action action : outbox.actions()) {
+            if (action instanceof Action.CheckServer check && !lost.contains(check.target().id())) {
+                tried.add(check.target().id());
+            }
+        }
         return outbox.actions();
     }
 
