--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -73,7 +73,7 @@
                     detour.serverUnreachable(state.server, nowNanos, outbox);
             case REFUSED_NOT_RUN, BROKEN_BODY, MALFORMED ->
                     detour.serverAnswered(state.server.id(), nowNanos, outbox);
-            case NO_CONNECTION_LEFT, TIMED_OUT, CANCELLED, REQUEST_BODY_BROKEN -> {
+            default -> {
                 // Says nothing about the link.
             }
         }
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
@@ -28,7 +28,6 @@
     private static final double LINK_MILLIS = 1;
     private static final double STORE_LINK_MILLIS = 12;
     private static final long CHANGE_MILLIS = 2_000;
-    private static final long PEER_MARGIN_MILLIS = 300;
     private static final WatchSettings WATCH =
             new WatchSettings(
                     25_000, 2_500, 1_000, 300, 100, 300, 1_200, 100, 600, 500, 2_000, 6_500,
@@ -103,13 +102,13 @@
     /** Starts the process, which handles its first event when the JVM has loaded it. */
     void start(double loadMillis) {
         powered = true;
-        disturbedUntilNanos = time.nowNanos();
+        long startedNanos = time.nowNanos();
+        disturbedUntilNanos = startedNanos;
         int started = ++incarnation;
         after(
                 loadMillis,
                 () -> {
                     if (incarnation == started) {
-                        long startedNanos = disturbedUntilNanos;
                         start();
                         disturbedUntilNanos = startedNanos;
                     }
@@ -161,11 +160,9 @@
 
     /** Ends the process; callers of its ports are told at once. */
     void kill() {
-        alive = false;
-        heldWhileFrozen.clear();
-        frozen = false;
         List<Poll> open = List.copyOf(polls);
-        polls.clear();
+        powerOff();
+        powered = true;
         open.forEach(poll -> poll.answer(new DiscoveryResponse.Failed(true, "reset")));
     }
 
@@ -301,7 +298,7 @@
                     }
                 };
         after(
-                timeoutMillis(request),
+                SimulatedStore.timeoutMillis(request),
                 () -> consumer.accept(new DiscoveryResponse.Failed(false, "timeout")));
         if (request instanceof DiscoveryRequest.PeerPoll poll) {
             SimulatedFollower peer = byAddress.get(poll.address());
@@ -357,16 +354,6 @@
                 });
     }
 
-    private static long timeoutMillis(DiscoveryRequest request) {
-        return switch (request) {
-            case DiscoveryRequest.PeerPoll poll -> poll.waitMillis() + PEER_MARGIN_MILLIS;
-            case DiscoveryRequest.Watch watch when watch.stale() ->
-                    watch.waitMillis() + (watch.waitMillis() <= 300 ? 400 : 600);
-            case DiscoveryRequest.Watch watch -> watch.waitMillis() + 1_500;
-            default -> 1_500;
-        };
-    }
-
     /** A poll of another instance that waits for an answer. */
     private final class Poll {
         private final DiscoveryRequest.PeerPoll request;
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedStore.java
@@ -18,6 +18,7 @@
 final class SimulatedStore {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double STALE_PRICE = 0.1;
+    private static final long PEER_MARGIN_MILLIS = 300;
 
     private final VirtualTime time;
     private final Map<DiscoveryKind, TreeMap<String, DiscoveryObject>> objects =
@@ -206,6 +207,17 @@
         }
     }
 
+    /** Returns how long the client of an instance waits for a response. */
+    static long timeoutMillis(DiscoveryRequest request) {
+        return switch (request) {
+            case DiscoveryRequest.PeerPoll poll -> poll.waitMillis() + PEER_MARGIN_MILLIS;
+            case DiscoveryRequest.Watch watch when watch.stale() ->
+                    watch.waitMillis() + (watch.waitMillis() <= 300 ? 400 : 600);
+            case DiscoveryRequest.Watch watch -> watch.waitMillis() + 1_500;
+            default -> 1_500;
+        };
+    }
+
     private DiscoveryResponse.Changes changes(DiscoveryRequest.Watch watch) {
         List<DiscoveryObject> changed =
                 history.stream()
