--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -146,17 +146,11 @@
                         settings.discovery().instance().value() + "-passed");
         registerGauges();
         jvmWarmup = settings.warmsUpJvm() ? new JvmWarmup(settings, worker, buffers) : null;
-        readinessServer =
-                Undertow.builder()
-                        .setWorker(worker)
-                        .setByteBufferPool(buffers)
-                        .setHandler(readinessHandler())
-                        .addHttpListener(
-                                settings.readinessAddress().getPort(),
-                                settings.readinessAddress().getHostString())
-                        .build();
-        readinessServer.start();
-        peerServer = peerFeed == null ? null : startPeerServer(settings.peerFeed().address());
+        readinessServer = startServer(settings.readinessAddress(), readinessHandler());
+        peerServer =
+                peerFeed == null
+                        ? null
+                        : startServer(settings.peerFeed().address(), this::handleInstance);
         callerListener =
                 proxy.listen(
                         settings.callerAddress(),
@@ -258,12 +252,12 @@
         }
     }
 
-    private Undertow startPeerServer(InetSocketAddress address) {
+    private Undertow startServer(InetSocketAddress address, HttpHandler handler) {
         Undertow server =
                 Undertow.builder()
                         .setWorker(worker)
                         .setByteBufferPool(buffers)
-                        .setHandler(this::handleInstance)
+                        .setHandler(handler)
                         .addHttpListener(address.getPort(), address.getHostString())
                         .build();
         server.start();
