State a time to come back only with calls that have not run

A call that was passed to another instance and may have run was refused with Retry-After, as if coming back were the way to have it run once. DetourTest.passesCallToNextInstanceOnlyIfItHasNotBegun checks it, and failed before for the failures after which a call may have run.

--- a/core/src/main/java/org/snipeslip/core/call/Detour.java
+++ b/core/src/main/java/org/snipeslip/core/call/Detour.java
@@ -307,7 +307,8 @@
 
     private void refuse(PassedCall passedCall, RefusalReason reason, Outbox outbox) {
         CallState call = passedCall.call;
-        Refusal refusal = CallCompletion.refusal(call, reason, RETRY_AFTER_MILLIS);
+        long retryAfterMillis = call.mayHaveStarted ? 0 : RETRY_AFTER_MILLIS;
+        Refusal refusal = CallCompletion.refusal(call, reason, retryAfterMillis);
         end(call);
         outbox.add(new Action.RefuseCaller(call.request, refusal));
         record(call, DecisionRecord.Kind.REFUSED, passedCall, refusal, outbox);
--- a/core/src/test/java/org/snipeslip/core/call/DetourTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/DetourTest.java
@@ -87,6 +87,7 @@
             assertThat(actions).noneMatch(Action.SendTry.class::isInstance);
             assertThat(refusal(actions).outcome()).isEqualTo(Outcome.UNKNOWN);
             assertThat(refusal(actions).status()).isNotIn(408, 421, 429, 503);
+            assertThat(refusal(actions).retryAfterMillis()).isZero();
         } else {
             Action.SendTry second = sent(actions);
             assertThat(second.handover()).isNotNull();
