--- a/core/src/main/java/org/snipeslip/core/call/CallHead.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallHead.java
@@ -35,34 +35,6 @@
         boolean bodyReplayable,
         RequestIdentity identity,
         Handover handover) {
-    /** Creates the head of a caller's request. */
-    public CallHead(
-            String method,
-            String host,
-            String path,
-            OrganisationId organisation,
-            IdempotencyKey idempotencyKey,
-            String fingerprint,
-            long remainingNanos,
-            int depth,
-            int retriesLeft,
-            boolean bodyReplayable,
-            RequestIdentity identity) {
-        this(
-                method,
-                host,
-                path,
-                organisation,
-                idempotencyKey,
-                fingerprint,
-                remainingNanos,
-                depth,
-                retriesLeft,
-                bodyReplayable,
-                identity,
-                null);
-    }
-
     /** Creates the head of a caller's request that is never compared with others. */
     public CallHead(
             String method,
@@ -86,6 +58,7 @@
                 depth,
                 retriesLeft,
                 bodyReplayable,
-                RequestIdentity.UNKNOWN);
+                RequestIdentity.UNKNOWN,
+                null);
     }
 }
--- a/core/src/test/java/org/snipeslip/core/call/DetourTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/DetourTest.java
@@ -1,6 +1,8 @@
 package org.snipeslip.core.call;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.snipeslip.core.call.ActionsOf.refusal;
+import static org.snipeslip.core.call.ActionsOf.sent;
 
 import java.util.List;
 import java.util.Set;
@@ -277,20 +279,4 @@
         engine.handle(event, nowNanos, outbox);
         return outbox.actions();
     }
-
-    private static Action.SendTry sent(List<Action> actions) {
-        return actions.stream()
-                .filter(Action.SendTry.class::isInstance)
-                .map(Action.SendTry.class::cast)
-                .findFirst()
-                .orElseThrow(() -> new AssertionError("no try in " + actions));
-    }
-
-    private static Refusal refusal(List<Action> actions) {
-        return actions.stream()
-                .filter(Action.RefuseCaller.class::isInstance)
-                .map(action -> ((Action.RefuseCaller) action).refusal())
-                .findFirst()
-                .orElseThrow(() -> new AssertionError("no refusal in " + actions));
-    }
 }
--- a/core/src/test/java/org/snipeslip/core/call/SuspectedCallTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/SuspectedCallTest.java
@@ -1,6 +1,8 @@
 package org.snipeslip.core.call;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.snipeslip.core.call.ActionsOf.refusal;
+import static org.snipeslip.core.call.ActionsOf.sent;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -201,7 +203,7 @@
 
     private List<Action> arrive(String method, RequestIdentity identity) {
         CallHead head =
-                new CallHead(method, "h", "/free", null, null, "", 0, 0, -1, true, identity);
+                new CallHead(method, "h", "/free", null, null, "", 0, 0, -1, true, identity, null);
         return handle(new Event.CallArrived(new RequestId("c" + ++calls), head));
     }
 
@@ -238,20 +240,4 @@
         }
         return outbox.actions();
     }
-
-    private static Action.SendTry sent(List<Action> actions) {
-        return actions.stream()
-                .filter(Action.SendTry.class::isInstance)
-                .map(Action.SendTry.class::cast)
-                .findFirst()
-                .orElseThrow(() -> new AssertionError("no try in " + actions));
-    }
-
-    private static Refusal refusal(List<Action> actions) {
-        return actions.stream()
-                .filter(Action.RefuseCaller.class::isInstance)
-                .map(action -> ((Action.RefuseCaller) action).refusal())
-                .findFirst()
-                .orElseThrow(() -> new AssertionError("no refusal in " + actions));
-    }
 }
