Refuse a call at once while the instance is cut off and nobody would send it

Cause: without a willing instance the call took the usual way, although no server is reached, which makes its outcome unknown for nothing.

Change: such a call is refused as not run, with the time until the next answers of others. The links are tried by tests of their own each 0.25 s, so no call is needed to find them back.

--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -376,7 +376,11 @@
         int retries = (route.maxTries() > 0 ? route.maxTries() : settings.maxTries()) - 1;
         call.retriesLeft =
                 head.retriesLeft() >= 0 ? Math.min(head.retriesLeft(), retries) : retries;
-        if (detour.isCutOff() && detour.take(call, true, nowNanos, outbox)) {
+        if (detour.isCutOff()) {
+            if (!detour.take(call, true, nowNanos, outbox)) {
+                Refusal refusal = Refusal.notRun(RefusalReason.CUT_OFF, Detour.RETRY_AFTER_MILLIS);
+                EarlyRefusal.refuse(arrived.request(), route, refusal, outbox);
+            }
             return;
         }
         ServiceShard shard = shards.get(splitChooser.choose(route));
--- a/core/src/main/java/org/snipeslip/core/call/Detour.java
+++ b/core/src/main/java/org/snipeslip/core/call/Detour.java
@@ -49,7 +49,7 @@
     private static final int MAX_INSTANCES = 3;
 
     /** Callers return when the next answers of other instances are in. */
-    private static final long RETRY_AFTER_MILLIS = 250;
+    static final long RETRY_AFTER_MILLIS = 250;
 
     /** Only the calls of callers bound the connections between two instances. */
     private static final int CONNECTION_LIMIT = 65_535;
--- a/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -26,7 +26,7 @@
     BACKEND_SERVER_REFUSED(503),
     /** No connection to a backend server could be opened. */
     BACKEND_SERVER_UNREACHABLE(503),
-    /** The call was passed by another instance, but this one reaches no backend server either. */
+    /** This instance reaches no backend server, and knows no other one that would send the call. */
     CUT_OFF(503),
     /** Backend servers crashed one after another while they ran the same request. */
     CRASHES_BACKEND_SERVERS(503),
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -353,10 +353,8 @@
     private void retryOrRefuse(CallState call, long nowNanos, Outbox outbox) {
         boolean mayRepeat = suspects.mayRepeat(call, nowNanos);
         // While the instance is cut off, another server would not be reached either.
-        if (mayRepeat && detour.isCutOff() && calls.passOn(call, nowNanos, outbox)) {
-            return;
-        }
-        if (mayRepeat && retries.takeRetry(call, nowNanos)) {
+        boolean again = mayRepeat && !detour.isCutOff() && retries.takeRetry(call, nowNanos);
+        if (again) {
             call.retriesLeft--;
             admit(call, nowNanos, outbox);
         } else if (!mayRepeat || !calls.passOn(call, nowNanos, outbox)) {
--- a/core/src/test/java/org/snipeslip/core/call/DetourTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/DetourTest.java
@@ -68,14 +68,10 @@
     void refusesCallAtOnceWhenNoInstanceIsWilling() {
         failLinks();
         List<Action> actions = arrive("POST");
-        Action.SendTry tried = sent(actions);
-        assertThat(tried.handover()).isNull();
-        List<Action> end = actions;
-        for (int i = 0; i < 4 && end.stream().anyMatch(Action.SendTry.class::isInstance); i++) {
-            end = fail(sent(end), TryFailure.NOT_CONNECTED);
-        }
-        assertThat(refusal(end).outcome()).isEqualTo(Outcome.NOT_RUN);
-        assertThat(refusal(end).status()).isEqualTo(503);
+        assertThat(actions).noneMatch(Action.SendTry.class::isInstance);
+        assertThat(refusal(actions).outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(refusal(actions).status()).isEqualTo(503);
+        assertThat(refusal(actions).retryAfterMillis()).isPositive();
     }
 
     /** Guards against an unsafe call that is passed on although it may have run. */
--- a/server/src/main/java/org/snipeslip/server/http/CallHandler.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallHandler.java
@@ -63,26 +63,30 @@
     public void handleRequest(HttpServerExchange exchange) {
         CallerConnections.Entry caller = callers.requestStarted(exchange);
         RequestId request = requestId(exchange);
-        RequestFault fault = validator.validate(exchange);
-        Handover handover = null;
-        if (environment.servesInstances()) {
-            handover =
-                    HandoverHeader.decode(
-                            exchange.getRequestHeaders().getFirst(SnipeslipHeaders.HANDOVER));
-            fault = fault == null && handover == null ? RequestFault.INVALID_HANDOVER : fault;
-        }
-        Handover stated = handover;
-        RequestFault found = fault;
-        if (found == null) {
+        Handover handover = handover(exchange);
+        RequestFault fault = fault(exchange, handover);
+        if (fault == null) {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
-                    () -> startCall(exchange, request, caller, stated));
+                    () -> startCall(exchange, request, caller, handover));
         } else {
             exchange.dispatch(
-                    SameThreadExecutor.INSTANCE, () -> refuseRequest(exchange, request, found));
+                    SameThreadExecutor.INSTANCE, () -> refuseRequest(exchange, request, fault));
         }
     }
 
+    /** Returns what another instance states, or null if the call comes from a caller. */
+    private Handover handover(HttpServerExchange exchange) {
+        String value = exchange.getRequestHeaders().getFirst(HANDOVER);
+        return environment.servesInstances() && value != null ? HandoverHeader.decode(value) : null;
+    }
+
+    private RequestFault fault(HttpServerExchange exchange, Handover handover) {
+        RequestFault fault = validator.validate(exchange);
+        boolean lacksHandover = environment.servesInstances() && handover == null;
+        return fault == null && lacksHandover ? RequestFault.INVALID_HANDOVER : fault;
+    }
+
     private void startCall(
             HttpServerExchange exchange,
             RequestId request,
