Keep a call whose claim was granted, and end its claim

Cause: a call with an idempotency key that found no server was passed to another instance while this one held the claim on its key. Nobody ended the claim, and the other instance was refused its own.

Ruled out: calls that arrive while the instance is cut off; they are passed before a claim is made.

Change: a call with a granted claim is not passed on. It is refused as before the calls of cut-off instances were passed on, and its claim is ended.

Before: DetourTest.endsClaimOfCallThatHasFoundNoServer failed (the call was passed on). After: DetourTest passes, 26 tests.

--- a/core/src/main/java/org/snipeslip/core/call/ShardCalls.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardCalls.java
@@ -43,7 +43,8 @@
     }
 
     /**
-     * Passes a call to another instance if it has found no server that is reached from here.
+     * Passes a call to another instance if it has found no server that is reached from here. A call
+     * whose claim is granted stays: the other instance would be refused its own claim on the key.
      *
      * @return whether the call has left this shard
      */
@@ -52,7 +53,7 @@
                 call.lastFailure != null
                         && CallCompletion.reasonOf(call.lastFailure)
                                 == RefusalReason.BACKEND_SERVER_UNREACHABLE;
-        if (!unreached || !detour.take(call, false, nowNanos, outbox)) {
+        if (!unreached || call.claimGranted || !detour.take(call, false, nowNanos, outbox)) {
             return false;
         }
         calls.remove(call.request);
--- a/core/src/test/java/org/snipeslip/core/call/DetourTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/DetourTest.java
@@ -13,13 +13,17 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.id.FailureDomainId;
+import org.snipeslip.core.id.IdempotencyKey;
 import org.snipeslip.core.id.OrganisationId;
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.id.RequestId;
+import org.snipeslip.core.idempotency.ClaimDecision;
+import org.snipeslip.core.idempotency.ClaimEnd;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.EngineName;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.Outbox;
+import org.snipeslip.core.instance.OutboxValues;
 import org.snipeslip.core.instance.RecordableAnswer;
 import org.snipeslip.core.instance.TimerId;
 import org.snipeslip.core.suspect.SuspectPeer;
@@ -168,6 +172,30 @@
         assertThat(sent(actions).handover()).isNotNull();
     }
 
+    /** Guards against a claim that stays open, so that the key is refused from then on. */
+    @Test
+    void endsClaimOfCallThatHasFoundNoServer() {
+        arrive("POST", null, null, new IdempotencyKey("key"));
+        Outbox outbox = new Outbox();
+        engine.claimDecided(
+                new ClaimDecision.Granted(new RequestId("c" + calls)), nowNanos, outbox);
+        List<Action> actions = outbox.actions();
+        for (int i = 0; i < 3; i++) {
+            Action.SendTry tried = sent(actions);
+            assertThat(tried.handover()).isNull();
+            outbox = new Outbox();
+            engine.handle(
+                    new Event.TryFailed(
+                            tried.tryId(), TryFailure.NOT_CONNECTED, LoadReport.UNKNOWN),
+                    nowNanos,
+                    outbox);
+            actions = outbox.actions();
+            answerPeers(actions);
+        }
+        assertThat(refusal(actions).outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(OutboxValues.poll(outbox)).isInstanceOf(ClaimEnd.class);
+    }
+
     /** Guards against a region with one failure domain, whose servers say nothing of the others. */
     @Test
     void triesServersOfOtherFailureDomainsWhenNoneAnswers() {
@@ -249,13 +277,18 @@
     }
 
     private List<Action> arrive(String method, Handover handover, OrganisationId organisation) {
+        return arrive(method, handover, organisation, null);
+    }
+
+    private List<Action> arrive(
+            String method, Handover handover, OrganisationId organisation, IdempotencyKey key) {
         CallHead head =
                 new CallHead(
                         method,
                         "h",
                         "/free",
                         organisation,
-                        null,
+                        key,
                         "",
                         2_000 * MILLI,
                         0,
