--- a/review/standin/review/OddBytes.java
+++ b/review/standin/review/OddBytes.java
@@ -8,8 +8,9 @@
 
 /**
  * Another writer leaves an entry of kind servers with a byte that is not UTF-8: the word "café" in
- * Latin-1. It costs no more than itself: when an upstream then reports that it is draining, no
- * request may reach it later than drainS after the store has accepted the report.
+ * Latin-1; or, with ENTRY=large, three entries of nearly valueBytes of small objects. They cost no
+ * more than themselves: when an upstream then reports that it is draining, no request may reach it
+ * later than drainS after the store has accepted the report.
  */
 final class OddBytes extends Case {
     private static final int DRAIN_MILLIS = 2_000;
@@ -26,6 +27,11 @@
 
     private static final int START_MILLIS = 20_000;
 
+    private static final int LARGE_ENTRIES = 3;
+
+    /** Valid JSON of another form than an entry has, a little below valueBytes. */
+    private static final String LARGE_SPEC = "{\"x\":[" + "{\"a\":{}},".repeat(115_000) + "1]}";
+
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger other = new AtomicInteger();
     private final AtomicInteger late = new AtomicInteger();
@@ -50,9 +56,7 @@
             }
             WatchedUpstream leaving = (WatchedUpstream) deployment.upstreams.getFirst();
             if (trouble) {
-                String spec = leaving.spec("ready", 1).replace("\"v1\"", "\"caf\u00e9\"");
-                deployment.store.put("servers", "of-another-writer", spec);
-                record.add("the store holds an entry with a byte that is not UTF-8");
+                writeOddEntries(deployment.store, leaving);
             }
             Thread.sleep(PAUSE_MILLIS);
             deployment.store.put("servers", leaving.id, leaving.spec("draining", 2));
@@ -74,6 +78,20 @@
         return late.get() > 0;
     }
 
+    private void writeOddEntries(Store store, Upstream model) throws InterruptedException {
+        if (!"large".equals(System.getenv("ENTRY"))) {
+            String spec = model.spec("ready", 1).replace("\"v1\"", "\"caf\u00e9\"");
+            store.put("servers", "of-another-writer", spec);
+            record.add("the store holds an entry with a byte that is not UTF-8");
+            return;
+        }
+        for (int i = 0; i < LARGE_ENTRIES; i++) {
+            store.put("servers", "of-another-writer-" + i, LARGE_SPEC);
+            record.add("the store holds an entry of %d bytes", LARGE_SPEC.length());
+            Thread.sleep(PAUSE_MILLIS);
+        }
+    }
+
     /** Records whether a machine that is added now becomes ready; this is not judged. */
     private void recordStart(Deployment deployment) throws IOException, InterruptedException {
         Instance added = new Instance("front-fleuve-a-9", "fleuve-a", "fleuve", deployment.store);
--- a/review/standin/review/Store.java
+++ b/review/standin/review/Store.java
@@ -15,6 +15,9 @@
 
 /** Stand-in for the platform's store: lists, watches and creates objects, always up to date. */
 final class Store extends Listener {
+    /** The store lists about 1 MB at most in one answer. */
+    private static final int PAGE_BYTES = 1 << 20;
+
     private static final Pattern NAME = Pattern.compile("\"name\"\\s*:\\s*\"([^\"]+)\"");
 
     private final Map<String, TreeMap<String, String>> kinds = new HashMap<>();
@@ -80,11 +83,17 @@
     }
 
     private synchronized String list(String kind, String after) {
-        return "{\"items\":["
-                + String.join(",", kinds.getOrDefault(kind, new TreeMap<>()).tailMap(after, false).values())
-                + "],\"more\":false,\"currentRev\":"
-                + revision
-                + "}";
+        StringBuilder items = new StringBuilder();
+        boolean more = false;
+        for (String object :
+                kinds.getOrDefault(kind, new TreeMap<>()).tailMap(after, false).values()) {
+            more = items.length() > 0 && items.length() + object.length() > PAGE_BYTES;
+            if (more) {
+                break;
+            }
+            items.append(items.length() > 0 ? "," : "").append(object);
+        }
+        return "{\"items\":[" + items + "],\"more\":" + more + ",\"currentRev\":" + revision + "}";
     }
 
     private synchronized String watch(String kind, long since, long waitMillis) {
