--- a/review/standin/review/EarlyAnswers.java
+++ b/review/standin/review/EarlyAnswers.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Upstreams answer before they have read a long body, keep the connection and read on later. Clients
- * keep their connections for many requests. Of the requests that are still unanswered at the timeout
- * of their route, at least half must have an answer half a second later.
+ * Upstreams answer before they have read a long body, keep the connection and read on later.
+ * Clients keep their connections for many requests. Of the requests that are still unanswered at
+ * the timeout of their route, at least half must have an answer half a second later.
  */
 final class EarlyAnswers extends Case {
     private static final int UPSTREAMS = 4;
@@ -62,8 +62,8 @@
             }
         }
         record.add(
-                "early answers %d; requests answered %d, connections that ended %d; unanswered at the"
-                        + " timeout of %d ms: %d, of these unanswered %d ms later: %d",
+                "early answers %d; requests answered %d, connections that ended %d; unanswered at"
+                    + " the timeout of %d ms: %d, of these unanswered %d ms later: %d",
                 early.get(),
                 answered.get(),
                 otherEnds.get(),
@@ -137,7 +137,9 @@
         if (millis > TIMEOUT_MILLIS + SLACK_MILLIS) {
             unansweredLater.incrementAndGet();
         }
-        record.add("request %s on a %s connection: %s after %d ms", id, kept ? "kept" : "new", end, millis);
+        record.add(
+                "request %s on a %s connection: %s after %d ms",
+                id, kept ? "kept" : "new", end, millis);
     }
 
     private static void sleep(long millis) {
--- a/review/standin/review/Instance.java
+++ b/review/standin/review/Instance.java
@@ -78,8 +78,15 @@
                 platform.valueBytes=1048576
                 """
                         .formatted(
-                                name, zone, region, frontPort, readyPort, ports.get(2),
-                                ports.get(3), ports.get(4), store.address()));
+                                name,
+                                zone,
+                                region,
+                                frontPort,
+                                readyPort,
+                                ports.get(2),
+                                ports.get(3),
+                                ports.get(4),
+                                store.address()));
         Matcher run = RUN.matcher(Files.readString(Path.of("deploy/system.toml")));
         if (!run.find()) {
             throw new IOException("no command in deploy/system.toml");
--- a/review/standin/review/Record.java
+++ b/review/standin/review/Record.java
@@ -17,7 +17,8 @@
 
     synchronized void add(String format, Object... arguments) {
         double seconds = (System.nanoTime() - startNanos) / 1e9;
-        out.printf(Locale.ROOT, "%8.3f %s%n", seconds, String.format(Locale.ROOT, format, arguments));
+        out.printf(
+                Locale.ROOT, "%8.3f %s%n", seconds, String.format(Locale.ROOT, format, arguments));
     }
 
     @Override
--- a/review/standin/review/SlowUploads.java
+++ b/review/standin/review/SlowUploads.java
@@ -62,7 +62,8 @@
             }
         }
         record.add(
-                "requests served %d, not served %d; reached a draining upstream too late %d, cut off there %d",
+                "requests served %d, not served %d; reached a draining upstream too late %d, cut"
+                    + " off there %d",
                 served.get(), notServed.get(), late.get(), cut.get());
         if (served.get() == 0) {
             throw new IOException("no request was served");
@@ -141,7 +142,8 @@
                     acknowledgedNanos == Long.MAX_VALUE
                             ? -1
                             : (System.nanoTime() - acknowledgedNanos) / 1_000_000;
-            record.add("upstream %s runs %s, Deadline-Ms %s", id, request, head.field("Deadline-Ms"));
+            record.add(
+                    "upstream %s runs %s, Deadline-Ms %s", id, request, head.field("Deadline-Ms"));
             if (afterMillis > DRAIN_MILLIS) {
                 late.incrementAndGet();
                 record.add("%s has reached %s %d ms after its report", request, id, afterMillis);
--- a/review/standin/review/SpoiledChunks.java
+++ b/review/standin/review/SpoiledChunks.java
@@ -130,12 +130,15 @@
             synchronized (random) {
                 spoils = faulty && random.nextDouble() < SPOILED_SHARE;
             }
-            String fields = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s." + id;
+            String fields =
+                    "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s." + id;
             write(out, fields + "\r\n" + load() + "Transfer-Encoding: chunked\r\n\r\n");
             for (int i = 0; i < CHUNKS; i++) {
                 if (spoils && i == CHUNKS / 2) {
                     spoiled.incrementAndGet();
-                    record.add("upstream %s breaks off its answer to %s after %d chunks", this.id, id, i);
+                    record.add(
+                            "upstream %s breaks off its answer to %s after %d chunks",
+                            this.id, id, i);
                     write(out, ERROR_ANSWER);
                     return false;
                 }
--- a/review/standin/review/Upstream.java
+++ b/review/standin/review/Upstream.java
@@ -62,7 +62,11 @@
         } finally {
             running.decrementAndGet();
         }
-        send(out, 200, "Request-Id: " + head.field("Request-Id") + "\r\nResponse-Signature: s.1\r\n", answer(head));
+        send(
+                out,
+                200,
+                "Request-Id: " + head.field("Request-Id") + "\r\nResponse-Signature: s.1\r\n",
+                answer(head));
         return true;
     }
 
