--- a/review/standin/review/Deployment.java
+++ b/review/standin/review/Deployment.java
@@ -29,6 +29,7 @@
              "idleTimeoutS":15}}
             """;
 
+    private final Record record;
     final Store store = new Store();
     final List<Upstream> upstreams = new ArrayList<>();
     final List<Instance> instances = new ArrayList<>();
@@ -36,10 +37,12 @@
     /**
      * Writes the first configuration.
      *
+     * @param record gets a line for each request that an upstream begins to run
      * @param timeoutSeconds longest time that the operator wants a request kept waiting
      * @param targetSeconds time within which a response earns its full credit
      */
-    Deployment(double timeoutSeconds, double targetSeconds) throws IOException {
+    Deployment(Record record, double timeoutSeconds, double targetSeconds) throws IOException {
+        this.record = record;
         String config =
                 String.format(
                         java.util.Locale.ROOT,
@@ -53,6 +56,7 @@
     }
 
     void add(Upstream upstream) {
+        upstream.record = record;
         upstreams.add(upstream);
         store.put("servers", upstream.id, upstream.spec("ready", 1));
     }
--- a/review/standin/review/EarlyAnswers.java
+++ b/review/standin/review/EarlyAnswers.java
@@ -41,7 +41,7 @@
 
     @Override
     boolean isBroken() throws Exception {
-        try (Deployment deployment = new Deployment(TIMEOUT_MILLIS / 1e3, 0.5)) {
+        try (Deployment deployment = new Deployment(record, TIMEOUT_MILLIS / 1e3, 0.5)) {
             for (int i = 0; i < UPSTREAMS; i++) {
                 deployment.add(new EarlyUpstream("i-" + i));
             }
@@ -63,7 +63,7 @@
         }
         record.add(
                 "early answers %d; requests answered %d, connections that ended %d; unanswered at"
-                    + " the timeout of %d ms: %d, of these unanswered %d ms later: %d",
+                        + " the timeout of %d ms: %d, of these unanswered %d ms later: %d",
                 early.get(),
                 answered.get(),
                 otherEnds.get(),
@@ -97,10 +97,12 @@
                 if (client == null) {
                     client = new Client(instance.frontPort, DEADLINE_MILLIS);
                 }
+                record.add("client sends %s on a %s connection", id, kept ? "kept" : "new");
                 client.send(request);
                 Client.Answer answer = client.read();
                 count(id, kept, sentNanos, "answered " + answer.status());
                 answered.incrementAndGet();
+                record.add("request %s got %d", id, answer.status());
                 boolean closes = "close".equalsIgnoreCase(answer.head().field("Connection"));
                 client = closes ? closed(client) : client;
             } catch (SocketTimeoutException e) {
--- a/review/standin/review/EndlessAnswers.java
+++ b/review/standin/review/EndlessAnswers.java
@@ -48,7 +48,7 @@
 
     @Override
     boolean isBroken() throws Exception {
-        try (Deployment deployment = new Deployment(TIMEOUT_MILLIS / 1e3, 0.5)) {
+        try (Deployment deployment = new Deployment(record, TIMEOUT_MILLIS / 1e3, 0.5)) {
             for (int i = 0; i < UPSTREAMS; i++) {
                 deployment.add(new EndlessUpstream("i-" + i, trouble && i < FAULTY_UPSTREAMS));
             }
@@ -70,7 +70,7 @@
         }
         record.add(
                 "answers spoiled %d; requests answered before the timeout of %d ms: %d; unanswered"
-                    + " at the timeout: %d, of these unanswered %d ms later: %d",
+                        + " at the timeout: %d, of these unanswered %d ms later: %d",
                 spoiled.get(),
                 TIMEOUT_MILLIS,
                 answeredInTime.get(),
@@ -98,6 +98,7 @@
                                 (head + "Connection: close\r\n\r\n")
                                         .getBytes(StandardCharsets.ISO_8859_1));
                 sentNanos = System.nanoTime();
+                record.add("client %s has sent", id);
                 // Sound answers are short and their connections are closed, so the end of the
                 // connection is the end of the answer.
                 int count;
@@ -131,6 +132,7 @@
     private void count(String id, long millis, String result, boolean left) {
         if (millis < TIMEOUT_MILLIS) {
             answeredInTime.incrementAndGet();
+            record.add("client %s had its answer after %d ms: %s", id, millis, result);
             return;
         }
         unansweredAtTimeout.incrementAndGet();
@@ -193,7 +195,7 @@
                 long millis = Math.max(1, millisSince(startNanos));
                 record.add(
                         "the instance has closed the connection of %s after %d ms and %d bytes (%d"
-                            + " Mbit/s)",
+                                + " Mbit/s)",
                         request, millis, bytes, bytes * 8 / 1_000 / millis);
             }
             return false;
--- a/review/standin/review/OddBytes.java
+++ b/review/standin/review/OddBytes.java
@@ -43,7 +43,7 @@
 
     @Override
     boolean isBroken() throws Exception {
-        try (Deployment deployment = new Deployment(3, 0.5)) {
+        try (Deployment deployment = new Deployment(record, 3, 0.5)) {
             for (int i = 0; i < UPSTREAMS; i++) {
                 deployment.add(new WatchedUpstream("i-" + i));
             }
@@ -110,14 +110,13 @@
             String id = prefix + i;
             try (Client client = new Client(instance.frontPort, 2 * DEADLINE_MILLIS)) {
                 String target = Deployment.UNSAFE_PATH + id;
+                record.add("client %s sends", id);
                 client.send(
                         Client.head("POST", target, id, DEADLINE_MILLIS)
                                 + "Content-Length: 5\r\n\r\nhello");
                 int status = client.read().status();
                 (status == 200 ? served : other).incrementAndGet();
-                if (status != 200) {
-                    record.add("client %s got %d", id, status);
-                }
+                record.add("client %s got %d", id, status);
                 Thread.sleep(50);
             } catch (IOException e) {
                 other.incrementAndGet();
--- a/review/standin/review/SlowUploads.java
+++ b/review/standin/review/SlowUploads.java
@@ -39,7 +39,7 @@
 
     @Override
     boolean isBroken() throws Exception {
-        try (Deployment deployment = new Deployment(DEADLINE_MILLIS / 1e3, 5)) {
+        try (Deployment deployment = new Deployment(record, DEADLINE_MILLIS / 1e3, 5)) {
             List<DrainingUpstream> old = new ArrayList<>();
             for (int i = 0; i < UPSTREAMS; i++) {
                 DrainingUpstream upstream = new DrainingUpstream("i-" + i);
@@ -63,7 +63,7 @@
         }
         record.add(
                 "requests served %d, not served %d; reached a draining upstream too late %d, cut"
-                    + " off there %d",
+                        + " off there %d",
                 served.get(), notServed.get(), late.get(), cut.get());
         if (served.get() == 0) {
             throw new IOException("no request was served");
--- a/review/standin/review/SpoiledChunks.java
+++ b/review/standin/review/SpoiledChunks.java
@@ -42,7 +42,7 @@
 
     @Override
     boolean isBroken() throws Exception {
-        try (Deployment deployment = new Deployment(3, 0.5)) {
+        try (Deployment deployment = new Deployment(record, 3, 0.5)) {
             for (int i = 0; i < UPSTREAMS; i++) {
                 deployment.add(new ChunkedUpstream(i, trouble && i < FAULTY_UPSTREAMS));
             }
@@ -75,11 +75,13 @@
             String id = prefix + i;
             try (Client client = new Client(instance.frontPort, 2 * DEADLINE_MILLIS)) {
                 String target = Deployment.SAFE_PATH + id;
+                record.add("client %s sends", id);
                 client.send(Client.head("GET", target, id, DEADLINE_MILLIS) + "\r\n");
                 Client.Answer answer = client.read();
                 boolean success = answer.status() / 100 == 2;
                 if (success && answer.body().equals(wholeBody(id))) {
                     whole.incrementAndGet();
+                    record.add("client %s got %d, whole", id, answer.status());
                 } else if (success) {
                     wrong.incrementAndGet();
                     record.add(
--- a/review/standin/review/Upstream.java
+++ b/review/standin/review/Upstream.java
@@ -17,6 +17,9 @@
     final AtomicInteger total = new AtomicInteger();
     private final int slots;
 
+    /** Set before the first request. */
+    Record record;
+
     Upstream(String id, String service, String zone, int slots) throws IOException {
         this.id = id;
         this.service = service;
@@ -49,6 +52,7 @@
             send(out, 400, "Not-Executed: 1\r\n", "");
             return true;
         }
+        record.add("upstream %s begins to run %s", id, head.field("Request-Id"));
         return run(head, in, out);
     }
 
