Check chunked responses strictly before Undertow's client reads them

A backend server breaks off a chunked body and writes text where the next chunk size is due.

Cause: the chunk reader of Undertow's client takes a size without digits for 0, the last chunk, and skips bytes after a chunk. ChunkDecoder, which is strict, was used for requests only.

Ruled out: the relay taking a closed connection for an end (bodies cut at any byte by close or reset were broken before), and an error answer parsed as the next answer (blank lines alone had the same effect).

Change: ResponseConduit lies below Undertow's parser on every connection that is opened. It hands a head over line by line, so that no byte of the body is read with it, and checks each byte of a chunked body with ChunkDecoder. Probes, the store and other instances have the same conduit. The log tells MALFORMED_BODY from BROKEN_BODY, and has a line of kind lost for each malformed response. A malformed response is no crash of its server.

--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecorder.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecorder.java
@@ -33,9 +33,9 @@
     }
 
     /**
-     * Records that the connection of a try was lost.
+     * Records that the connection of a try was lost, or closed because of a malformed response.
      *
-     * @param digest digest of the request, or null if it must not be kept here
+     * @param digest digest of the request, or null if it must not be kept here or is not needed
      */
     void recordLost(
             CallState call,
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -71,7 +71,7 @@
         switch (failure) {
             case NOT_CONNECTED, CONNECT_TIMED_OUT, BROKEN_BEFORE_HEAD ->
                     detour.serverUnreachable(state.server, nowNanos, outbox);
-            case REFUSED_NOT_RUN, BROKEN_BODY, MALFORMED ->
+            case REFUSED_NOT_RUN, BROKEN_BODY, MALFORMED_BODY, MALFORMED ->
                     detour.serverAnswered(state.server.id(), nowNanos, outbox);
             default -> {
                 // Says nothing about the link.
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -188,6 +188,8 @@
             RequestDigest digest = suspects.digestOf(call);
             decisions.recordLost(call, openTry, failure, digest, nowNanos, outbox);
             suspects.lost(call, openTry, nowNanos, outbox);
+        } else if (failure.malformedResponse()) {
+            decisions.recordLost(call, openTry, failure, null, nowNanos, outbox);
         }
         call.mayHaveStarted |= failure.mayHaveStarted();
         call.bytesSent |= failure.mayHaveSent();
--- a/core/src/main/java/org/snipeslip/core/call/TryFailure.java
+++ b/core/src/main/java/org/snipeslip/core/call/TryFailure.java
@@ -14,6 +14,8 @@
     BROKEN_BEFORE_HEAD(true),
     /** The connection failed after the response head, within the body. */
     BROKEN_BODY(true),
+    /** The framing of the body of the response was malformed. */
+    MALFORMED_BODY(true),
     /** The deadline passed without a response head. */
     TIMED_OUT(true),
     /** The response was not valid HTTP. */
@@ -47,6 +49,15 @@
         return this == BROKEN_BEFORE_HEAD || this == BROKEN_BODY;
     }
 
+    /**
+     * Returns whether the backend server sent bytes that are no response.
+     *
+     * @return true if the head or the framing of the body was malformed
+     */
+    public boolean malformedResponse() {
+        return this == MALFORMED || this == MALFORMED_BODY;
+    }
+
     /**
      * Returns whether the backend server may have started the work.
      *
--- a/core/src/test/java/org/snipeslip/core/call/SuspectedCallTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/SuspectedCallTest.java
@@ -72,6 +72,24 @@
         }
     }
 
+    /** Guards against a malformed response that leaves no log line, or counts as a crash. */
+    @ParameterizedTest
+    @EnumSource(names = {"MALFORMED", "MALFORMED_BODY"})
+    void malformedResponseIsRecordedAndIsNoCrash(TryFailure failure) {
+        configure();
+        Action.SendTry first = sent(arrive("GET"));
+        List<Action> actions =
+                handle(new Event.TryFailed(first.tryId(), failure, LoadReport.UNKNOWN));
+        assertThat(actions)
+                .filteredOn(Action.RecordDecision.class::isInstance)
+                .extracting(action -> ((Action.RecordDecision) action).decision())
+                .filteredOn(decision -> decision.kind() == DecisionRecord.Kind.LOST)
+                .extracting(decision -> decision.loss().failure())
+                .containsExactly(failure);
+        check(first.target().id(), ServerPresence.GONE);
+        assertThat(table.find(DIGEST)).isNull();
+    }
+
     /** Guards against innocent requests that are refused because this instance lost its links. */
     @ParameterizedTest
     @CsvSource({"GONE, false", "UNKNOWN, false", "RUNNING, true"})
--- a/server/src/main/java/org/snipeslip/server/http/BackendConnectionPool.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendConnectionPool.java
@@ -40,7 +40,7 @@
     private final int instances;
     private final ConcurrentHashMap<String, BackendServerConnections> byAuthority =
             new ConcurrentHashMap<>();
-    private final Map<ClientConnection, ProgressLimit> limits = new ConcurrentHashMap<>();
+    private final Map<ClientConnection, ResponseConduit> conduits = new ConcurrentHashMap<>();
     private final LongAdder openConnections = new LongAdder();
     private volatile boolean closed;
 
@@ -124,14 +124,10 @@
     }
 
     /**
-     * Reports that a request was sent, or that a head or a part of a body was received. A
-     * connection with many bytes in between is broken.
+     * Returns what checks the responses on an open connection, or null if the connection is closed.
      */
-    void madeProgress(ClientConnection connection) {
-        ProgressLimit limit = limits.get(connection);
-        if (limit != null) {
-            limit.progress();
-        }
+    ResponseConduit responses(ClientConnection connection) {
+        return conduits.get(connection);
     }
 
     /** Returns a connection to the pool; its request and response must both be complete. */
@@ -146,7 +142,12 @@
     }
 
     private void addIdle(BackendServer server, ClientConnection connection, long usableNanos) {
-        if (closed || !connection.isOpen() || usableNanos <= 0) {
+        ResponseConduit responses = responses(connection);
+        if (closed
+                || !connection.isOpen()
+                || usableNanos <= 0
+                || responses == null
+                || responses.holdsBytes()) {
             BackendServerConnections.closeNow(connection);
         } else {
             connectionsOf(server).offerIdle(connection, usableNanos);
@@ -225,10 +226,10 @@
         @Override
         public void completed(ClientConnection result) {
             timeout.remove();
-            limits.put(result, connector.limit());
+            conduits.put(result, connector.responses());
             result.addCloseListener(
                     closedConnection -> {
-                        limits.remove(result);
+                        conduits.remove(result);
                         connectionClosed(connections);
                     });
             if (markEnded()) {
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -29,6 +29,7 @@
     private final CallRelay relay;
     private final BackendConnectionPool connections;
     private ClientConnection connection;
+    private ResponseConduit responses;
     private ClientExchange clientExchange;
     private XnioExecutor.Key timeout;
     private BodyPump requestPump;
@@ -107,11 +108,14 @@
         }
     }
 
-    /** Called when a part of the response was received. */
-    void madeProgress() {
-        if (connection != null) {
-            connections.madeProgress(connection);
-        }
+    /** Called when a part of the body of the response was received. */
+    void bodyReceived() {
+        responses.bodyReceived();
+    }
+
+    /** Returns why the body of the response has ended early. */
+    TryFailure bodyFailure() {
+        return responses.isBodyMalformed() ? TryFailure.MALFORMED_BODY : TryFailure.BROKEN_BODY;
     }
 
     /** Ends the try and closes its connection; returns false if the try had already ended. */
@@ -169,7 +173,12 @@
             return;
         }
         connection = acquired;
-        madeProgress();
+        responses = connections.responses(acquired);
+        if (responses == null) {
+            fail(TryFailure.BROKEN_BEFORE_HEAD, LoadReport.UNKNOWN);
+            return;
+        }
+        responses.requestSent();
         sentNanos = System.nanoTime();
         acquired.sendRequest(
                 BackendRequestBuilder.build(relay, action, remainingMillis()),
@@ -235,7 +244,7 @@
             responseRelay.abort();
         } else {
             fail(
-                    responseHeadReceived ? TryFailure.BROKEN_BODY : TryFailure.BROKEN_BEFORE_HEAD,
+                    responseHeadReceived ? bodyFailure() : TryFailure.BROKEN_BEFORE_HEAD,
                     LoadReport.UNKNOWN);
         }
     }
@@ -254,9 +263,8 @@
         if (ended) {
             return;
         }
-        madeProgress();
         ClientResponse response = result.getResponse();
-        if (!ResponseValidator.isWellFramed(response)) {
+        if (!isHeadWellFormed(result)) {
             fail(TryFailure.MALFORMED, LoadReport.UNKNOWN);
             return;
         }
@@ -282,6 +290,15 @@
         relay.report(new Event.TryAnswered(action.tryId(), status, load));
     }
 
+    private boolean isHeadWellFormed(ClientExchange result) {
+        try {
+            responses.headReceived(ResponseValidator.hasChunkedBody(result));
+        } catch (IOException e) {
+            return false;
+        }
+        return ResponseValidator.isWellFramed(result.getResponse());
+    }
+
     private boolean matchesRequestId(HeaderMap headers) {
         HttpString name = relay.dialect().requestId();
         String sent = relay.exchange().getRequestHeaders().getFirst(name);
--- a/server/src/main/java/org/snipeslip/server/http/ChunkDecoder.java
+++ b/server/src/main/java/org/snipeslip/server/http/ChunkDecoder.java
@@ -5,9 +5,9 @@
 import java.nio.ByteBuffer;
 
 /**
- * Decodes a chunked body in strict conformance with RFC 9112 section 7.1. Undertow's own decoder
- * treats an empty chunk size as the last chunk and skips bytes after a chunk, so a proxy in front
- * of this instance could see a different end of the request.
+ * Decodes the chunked body of a request or a response in strict conformance with RFC 9112 section
+ * 7.1. Undertow's own decoder treats an empty chunk size as the last chunk and skips bytes after a
+ * chunk, so it finds an end where another recipient finds none.
  */
 final class ChunkDecoder {
     private static final int MAX_SIZE_DIGITS = 15;
@@ -43,9 +43,24 @@
         }
     }
 
+    /** Checks the framing until the input is empty or the body has ended; keeps no data. */
+    void skip(ByteBuffer encoded) throws IOException {
+        while (encoded.hasRemaining() && state != State.END) {
+            if (state == State.DATA) {
+                advance(encoded, (int) Math.min(chunkBytes, encoded.remaining()));
+            } else {
+                decodeFramingByte(encoded.get() & 0xff);
+            }
+        }
+    }
+
     private void copy(ByteBuffer encoded, ByteBuffer decoded) {
         int count = (int) Math.min(chunkBytes, Math.min(encoded.remaining(), decoded.remaining()));
         decoded.put(encoded.slice(encoded.position(), count));
+        advance(encoded, count);
+    }
+
+    private void advance(ByteBuffer encoded, int count) {
         encoded.position(encoded.position() + count);
         chunkBytes -= count;
         if (chunkBytes == 0) {
@@ -148,10 +163,10 @@
         END
     }
 
-    /** The chunked coding is malformed, so the end of the request is unknown. */
+    /** The chunked coding is malformed, so the end of the body is unknown. */
     static final class MalformedBodyException extends IOException {
         MalformedBodyException() {
-            super("malformed chunked coding in the request body");
+            super("malformed chunked coding");
         }
     }
 }
--- a/server/src/main/java/org/snipeslip/server/http/LimitingConnector.java
+++ b/server/src/main/java/org/snipeslip/server/http/LimitingConnector.java
@@ -11,14 +11,14 @@
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * Opens the connection of an Undertow client with a {@link ProgressLimit} below its HTTP parser.
+ * Opens the connection of an Undertow client with a {@link ResponseConduit} below its HTTP parser.
  * Undertow creates its connection inside the connect call, with no other place for a conduit.
  * Everything else is delegated to the real I/O thread; this one is never started.
  */
 final class LimitingConnector extends XnioIoThread {
     private final XnioIoThread ioThread;
     private final long maxBytes;
-    private ProgressLimit limit;
+    private ResponseConduit responses;
 
     /**
      * Creates a connector for one connection.
@@ -32,9 +32,9 @@
         this.maxBytes = maxBytes;
     }
 
-    /** Returns the limit of the connection, once it is open. */
-    ProgressLimit limit() {
-        return limit;
+    /** Returns the conduit of the connection, once it is open. */
+    ResponseConduit responses() {
+        return responses;
     }
 
     @Override
@@ -46,8 +46,9 @@
                 destination,
                 connection -> {
                     ConduitStreamSourceChannel source = connection.getSourceChannel();
-                    limit = new ProgressLimit(source.getConduit(), maxBytes);
-                    source.setConduit(limit);
+                    responses =
+                            new ResponseConduit(new ProgressLimit(source.getConduit(), maxBytes));
+                    source.setConduit(responses);
                     openListener.handleEvent(connection);
                 },
                 options);
--- a/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
@@ -147,10 +147,13 @@
                 return;
             }
             connection = acquired;
-            // The limit holds for the whole response, whose body is kept in memory.
-            connections.madeProgress(acquired);
+            ResponseConduit responses = connections.responses(acquired);
+            if (responses == null) {
+                fail(ServerPresence.UNKNOWN);
+                return;
+            }
             URI origin = URI.create("http://" + BackendConnectionPool.authority(action.target()));
-            new SimpleHttpExchange(acquired, buffers, this)
+            new SimpleHttpExchange(acquired, responses, buffers, this)
                     .send(new SimpleHttpRequest(origin, "GET", action.path(), Map.of(), ""));
         }
 
--- a/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.snipeslip.core.call.LoadReport;
-import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.RecordableAnswer;
 
@@ -58,14 +57,14 @@
             relay.responseAborted(
                     new Event.TryFailed(
                             backendTry.action().tryId(),
-                            TryFailure.BROKEN_BODY,
+                            backendTry.bodyFailure(),
                             LoadReport.UNKNOWN));
         }
     }
 
     @Override
     public void beforeWrite(ByteBuffer bytes) {
-        backendTry.madeProgress();
+        backendTry.bodyReceived();
         if (recorder != null) {
             recorder.append(bytes);
         }
--- a/server/src/main/java/org/snipeslip/server/http/ResponseValidator.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseValidator.java
@@ -1,9 +1,11 @@
 package org.snipeslip.server.http;
 
+import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
 
 /** Rejects responses whose length two HTTP parsers could determine differently. */
@@ -30,6 +32,14 @@
         return lengths == null || lengths.size() == 1 && isNumber(lengths.get(0));
     }
 
+    /** Returns whether a body in the chunked coding follows the head of the response. */
+    static boolean hasChunkedBody(ClientExchange exchange) {
+        ClientResponse response = exchange.getResponse();
+        return response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)
+                && !isBodiless(response.getResponseCode())
+                && !Methods.HEAD.equals(exchange.getRequest().getMethod());
+    }
+
     /** Returns whether the status forbids a body, regardless of the header fields. */
     static boolean isBodiless(int status) {
         return status == StatusCodes.NO_CONTENT || status == StatusCodes.NOT_MODIFIED;
--- a/server/src/main/java/org/snipeslip/server/http/SimpleHttpClient.java
+++ b/server/src/main/java/org/snipeslip/server/http/SimpleHttpClient.java
@@ -8,6 +8,7 @@
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
 import java.net.URI;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -39,7 +40,7 @@
     private final int maxIdlePerOrigin;
     private final long maxIdleNanos;
     private final Map<URI, Deque<IdleConnection>> idle = new HashMap<>();
-    private final Map<ClientConnection, ProgressLimit> limits = new HashMap<>();
+    private final Map<ClientConnection, ResponseConduit> conduits = new HashMap<>();
 
     /**
      * Creates a client.
@@ -135,8 +136,8 @@
                             new ClientCallback<ClientConnection>() {
                                 @Override
                                 public void completed(ClientConnection acquired) {
-                                    limits.put(acquired, connector.limit());
-                                    acquired.addCloseListener(limits::remove);
+                                    conduits.put(acquired, connector.responses());
+                                    acquired.addCloseListener(conduits::remove);
                                     sendOn(acquired);
                                 }
 
@@ -157,9 +158,13 @@
                 return;
             }
             connection = acquired;
+            ResponseConduit responses = conduits.get(acquired);
+            if (responses == null) {
+                fail(new ClosedChannelException());
+                return;
+            }
             sent = true;
-            limits.get(acquired).progress();
-            new SimpleHttpExchange(acquired, buffers, this).send(request);
+            new SimpleHttpExchange(acquired, responses, buffers, this).send(request);
         }
 
         @Override
@@ -217,7 +222,11 @@
 
     private void releaseConnection(URI origin, ClientConnection connection) {
         Deque<IdleConnection> connections = idle.computeIfAbsent(origin, key -> new ArrayDeque<>());
-        if (connection.isOpen() && connections.size() < maxIdlePerOrigin) {
+        ResponseConduit responses = conduits.get(connection);
+        if (connection.isOpen()
+                && responses != null
+                && !responses.holdsBytes()
+                && connections.size() < maxIdlePerOrigin) {
             connections.push(new IdleConnection(connection, System.nanoTime()));
         } else {
             IoUtils.safeClose(connection);
--- a/server/src/main/java/org/snipeslip/server/http/SimpleHttpExchange.java
+++ b/server/src/main/java/org/snipeslip/server/http/SimpleHttpExchange.java
@@ -16,16 +16,23 @@
 /** Sends one small request on an open connection and reads the complete response into memory. */
 final class SimpleHttpExchange {
     private final ClientConnection connection;
+    private final ResponseConduit responses;
     private final ByteBufferPool buffers;
     private final Listener listener;
 
-    SimpleHttpExchange(ClientConnection connection, ByteBufferPool buffers, Listener listener) {
+    SimpleHttpExchange(
+            ClientConnection connection,
+            ResponseConduit responses,
+            ByteBufferPool buffers,
+            Listener listener) {
         this.connection = connection;
+        this.responses = responses;
         this.buffers = buffers;
         this.listener = listener;
     }
 
     void send(SimpleHttpRequest httpRequest) {
+        responses.requestSent();
         byte[] body = httpRequest.body().getBytes(StandardCharsets.UTF_8);
         ClientRequest request = new ClientRequest();
         request.setMethod(HttpString.tryFromString(httpRequest.method()));
@@ -64,6 +71,12 @@
     }
 
     private void readResponse(ClientExchange exchange) {
+        try {
+            responses.headReceived(ResponseValidator.hasChunkedBody(exchange));
+        } catch (IOException e) {
+            listener.failed(e);
+            return;
+        }
         new StringReadChannelListener(buffers) {
             @Override
             protected void stringDone(String text) {
