Bound the bytes and the lines of a response head

Cause: Undertow's client keeps every field of a head and bounds neither their number nor their bytes. ProgressLimit bounds bytes (64 KiB), but a field of six bytes takes about 200 in memory, and a head that pauses stays until the deadline of its call.

Change: ResponseConduit fails a head of more than 32 KiB or 200 lines, interim responses included, as MALFORMED. A head no longer resets the limit on bytes, so the limit holds for all of an answer that is kept in memory.

Test: EndlessResponseTest.endsCallWithLongHeadThatPauses, 4 of 4 failed before, none now.

--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -115,7 +115,7 @@
 
     /** Returns why the body of the response has ended early. */
     TryFailure bodyFailure() {
-        return responses.isBodyMalformed() ? TryFailure.MALFORMED_BODY : TryFailure.BROKEN_BODY;
+        return responses.isMalformed() ? TryFailure.MALFORMED_BODY : TryFailure.BROKEN_BODY;
     }
 
     /** Ends the try and closes its connection; returns false if the try had already ended. */
@@ -243,12 +243,16 @@
         if (responseRelay != null) {
             responseRelay.abort();
         } else {
-            fail(
-                    responseHeadReceived ? bodyFailure() : TryFailure.BROKEN_BEFORE_HEAD,
-                    LoadReport.UNKNOWN);
+            fail(responseHeadReceived ? bodyFailure() : headFailure(), LoadReport.UNKNOWN);
         }
     }
 
+    private TryFailure headFailure() {
+        return responses != null && responses.isMalformed()
+                ? TryFailure.MALFORMED
+                : TryFailure.BROKEN_BEFORE_HEAD;
+    }
+
     private void onRequestBodyFailed() {
         if (responseRelay != null) {
             responseRelay.abort();
--- a/server/src/main/java/org/snipeslip/server/http/ResponseConduit.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseConduit.java
@@ -10,23 +10,34 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Checks the bytes of responses below the parser of Undertow's client, whose chunk reader accepts
- * malformed chunks and may find the end of a body in them. All methods run on the I/O thread of the
- * connection.
+ * Checks the bytes of responses below the parser of Undertow's client. Its chunk reader accepts
+ * malformed chunks and may find the end of a body in them, and it keeps heads of any length. All
+ * methods run on the I/O thread of the connection.
  *
  * <p>A head is passed on line by line. The parser therefore never reads bytes of the body together
  * with the head, and every byte of a chunked body passes through {@link ChunkDecoder} first.
  */
 final class ResponseConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** Most bytes of a head, with the interim responses before it. */
+    private static final int MAX_HEAD_BYTES = 32 * 1024;
+
+    /** A field takes about 200 bytes of memory beside its text. */
+    private static final int MAX_HEAD_LINES = 200;
+
     private final ProgressLimit limit;
     private ByteBuffer heldBack;
     private ChunkDecoder chunks;
     private boolean inHead;
-    private boolean bodyMalformed;
+    private boolean malformed;
+    private int headBytes;
+    private int headLines;
 
     /** Whether the line that is being read has no bytes but carriage returns yet. */
     private boolean lineEmpty = true;
 
+    /** Whether the last byte of a head that was passed on ended a line. */
+    private boolean lineEnded;
+
     /** Whether the last byte of a head that was passed on ended an empty line. */
     private boolean atEmptyLine;
 
@@ -46,7 +57,9 @@
         inHead = true;
         lineEmpty = true;
         chunks = null;
-        bodyMalformed = false;
+        malformed = false;
+        headBytes = 0;
+        headLines = 0;
     }
 
     /**
@@ -56,7 +69,6 @@
      * @throws IOException if the parser has ended the head elsewhere than after an empty line
      */
     void headReceived(boolean chunkedBody) throws IOException {
-        limit.progress();
         inHead = false;
         chunks = chunkedBody ? new ChunkDecoder(Long.MAX_VALUE) : null;
         if (!atEmptyLine) {
@@ -69,9 +81,9 @@
         limit.progress();
     }
 
-    /** Returns whether the body that was received last breaks the rules of its coding. */
-    boolean isBodyMalformed() {
-        return bodyMalformed;
+    /** Returns whether the last response has too long a head or breaks the rules of its coding. */
+    boolean isMalformed() {
+        return malformed;
     }
 
     /** Returns whether bytes were received that nobody has read. */
@@ -83,7 +95,9 @@
     public int read(ByteBuffer target) throws IOException {
         int start = target.position();
         int count = heldBack == null ? readFromConnection(target) : readHeldBack(target);
-        if (count > 0 && !inHead && chunks != null) {
+        if (count > 0 && inHead) {
+            checkHead(count);
+        } else if (count > 0 && chunks != null) {
             checkChunks(target.slice(start, count));
         }
         return count;
@@ -120,12 +134,26 @@
         }
     }
 
+    private void checkHead(int count) throws IOException {
+        headBytes += count;
+        headLines += lineEnded ? 1 : 0;
+        if (headBytes > MAX_HEAD_BYTES || headLines > MAX_HEAD_LINES) {
+            malformed = true;
+            throw new IOException(
+                    "the head of a response exceeds "
+                            + MAX_HEAD_BYTES
+                            + " bytes or "
+                            + MAX_HEAD_LINES
+                            + " lines");
+        }
+    }
+
     private void checkChunks(ByteBuffer encoded) throws IOException {
         try {
             chunks.skip(encoded);
         } catch (ChunkDecoder.MalformedBodyException e) {
             // Undertow closes the connection before it passes the exception on.
-            bodyMalformed = true;
+            malformed = true;
             throw e;
         }
     }
@@ -162,13 +190,15 @@
         for (int i = from; i < to; i++) {
             byte b = bytes.get(i);
             if (b == '\n') {
+                lineEnded = true;
                 atEmptyLine = lineEmpty;
                 lineEmpty = true;
                 return i + 1;
             }
-            atEmptyLine = false;
             lineEmpty &= b == '\r';
         }
+        lineEnded = false;
+        atEmptyLine = false;
         return to;
     }
 }
--- a/server/src/test/java/org/snipeslip/server/http/EndlessResponseTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/EndlessResponseTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.snipeslip.core.call.TryFailure;
 import org.snipeslip.core.instance.Event;
 
 /**
@@ -61,6 +62,24 @@
         }
     }
 
+    /** A head of many fields takes far more memory than its bytes, and may stay for long. */
+    @ParameterizedTest
+    @CsvSource({"'A@:\r\n', 60000", "'A@: b\r\n', 40000", "'A@: b\r\n', 2200", "'A', 33000"})
+    void endsCallWithLongHeadThatPauses(String repeated, int bytes) throws Exception {
+        try (RawSocket caller = fixture.call(HttpFixture.get("/"))) {
+            RawSocket backend = fixture.backend.acceptRequest();
+            StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
+            for (int i = 0; head.length() < bytes; i++) {
+                head.append(repeated.replace("@", String.valueOf(i)));
+            }
+            backend.write(head.toString());
+
+            assertThat(fixture.engine.await(Event.TryFailed.class).failure())
+                    .isEqualTo(TryFailure.MALFORMED);
+            assertThat(caller.readHead()).startsWith("HTTP/1.1 502 ");
+        }
+    }
+
     /** A body that breaks its framing without end reaches the caller as broken. */
     @ParameterizedTest
     @ValueSource(strings = {"Transfer-Encoding: chunked\r\n\r\n2;"})
