Return to the selector after each part of a long body

Seen: while a body without an end is relayed to a caller that keeps pace, the instance does nothing else: no other call is answered, no timer fires, readiness and the store wait as well.

Cause: BodyPump.run ends its turn only if there is nothing to read or to write. If both ends are as fast as the instance, that never happens, and all connections and timers share one I/O thread, the time-out of the route included.

Ruled out: ProgressLimit, as each part of a body is progress; memory, as each body has three buffers.

Change: a pump ends its turn after 64 KiB and goes on when the selector reports that the sink takes bytes.

--- a/server/src/main/java/org/snipeslip/server/http/BodyPump.java
+++ b/server/src/main/java/org/snipeslip/server/http/BodyPump.java
@@ -9,9 +9,13 @@
 /**
  * Streams a body from one channel to another through one pooled buffer. It reads only when the
  * buffer is empty, so that a slow receiver applies back pressure to the sender. Runs on the I/O
- * thread, which both channels share.
+ * thread, which both channels share with other connections; it therefore returns to the selector
+ * after a limited number of bytes, also if more could be read and written.
  */
 final class BodyPump {
+    /** Bytes that are passed on before other connections and timers have their turn. */
+    private static final int MAX_BYTES_PER_TURN = 64 * 1024;
+
     private final BodySource source;
     private final StreamSinkChannel sink;
     private final Listener listener;
@@ -19,6 +23,7 @@
     private final ByteBuffer buffer;
     private boolean sourceEnded;
     private boolean ended;
+    private int bytesThisTurn;
 
     BodyPump(BodySource source, StreamSinkChannel sink, ByteBufferPool buffers, Listener listener) {
         this.source = source;
@@ -58,7 +63,12 @@
     }
 
     private void run() {
+        bytesThisTurn = 0;
         while (!ended) {
+            if (bytesThisTurn >= MAX_BYTES_PER_TURN) {
+                awaitWritable();
+                return;
+            }
             if (buffer.hasRemaining() ? !write() : sourceEnded ? !finishSink() : !read()) {
                 return;
             }
@@ -90,6 +100,7 @@
             sourceEnded = true;
             listener.sourceEnded();
         } else {
+            bytesThisTurn += count;
             listener.beforeWrite(buffer);
         }
         return !ended;
@@ -99,7 +110,8 @@
         try {
             while (buffer.hasRemaining()) {
                 if (sink.write(buffer) == 0) {
-                    return awaitWritable();
+                    awaitWritable();
+                    return false;
                 }
             }
             return true;
@@ -113,7 +125,8 @@
         try {
             sink.shutdownWrites();
             if (!sink.flush()) {
-                return awaitWritable();
+                awaitWritable();
+                return false;
             }
         } catch (IOException e) {
             fail(listener::sinkFailed, e);
@@ -125,12 +138,12 @@
         return false;
     }
 
-    private boolean awaitWritable() {
+    /** Runs again when the selector reports that the sink takes bytes. */
+    private void awaitWritable() {
         if (source != null && !sourceEnded) {
             source.suspend();
         }
         sink.resumeWrites();
-        return false;
     }
 
     private void fail(java.util.function.Consumer<IOException> handler, IOException e) {
--- a/server/src/test/java/org/snipeslip/server/http/HttpFixture.java
+++ b/server/src/test/java/org/snipeslip/server/http/HttpFixture.java
@@ -33,12 +33,16 @@
     }
 
     HttpFixture(int connectionLimit, HttpDialect dialect) throws IOException {
+        this(connectionLimit, dialect, 2);
+    }
+
+    HttpFixture(int connectionLimit, HttpDialect dialect, int ioThreads) throws IOException {
         engine = new ScriptedEngine(backend.server(connectionLimit));
         worker =
                 Xnio.getInstance()
                         .createWorker(
                                 OptionMap.builder()
-                                        .set(Options.WORKER_IO_THREADS, 2)
+                                        .set(Options.WORKER_IO_THREADS, ioThreads)
                                         .set(Options.TCP_NODELAY, true)
                                         .getMap());
         ByteBufferPool buffers = countingPool(new DefaultByteBufferPool(true, 16 * 1024));
