Ask before a request is sent whether its server is still in service

A try is decided when the head of a request is there, and sent when its body has been read, up to seconds later; a server that has left meanwhile still gets it.

Cause: BackendTry connects to the server of the decision without asking again; the check and the act are two moments, on two threads.

Change: BackendTry asks the state machine (StateMachine.maySend) before it connects and before it sends. A try whose server is draining, removed, restarted or out of service ends as SERVER_LEFT: no byte was sent, so the call goes to another server, also if it must run at most once. A call that finds only leaving servers is told to return after about half a second, when they have usually been replaced. Calls that another instance has passed on are checked where they are sent.

--- a/core/src/main/java/org/snipeslip/core/call/CallCompletion.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallCompletion.java
@@ -58,6 +58,7 @@
             case REFUSED_NOT_RUN -> RefusalReason.BACKEND_SERVER_REFUSED;
             case NOT_CONNECTED, CONNECT_TIMED_OUT, NO_CONNECTION_LEFT ->
                     RefusalReason.BACKEND_SERVER_UNREACHABLE;
+            case SERVER_LEFT -> RefusalReason.NO_BACKEND_SERVER;
             case TIMED_OUT -> RefusalReason.DEADLINE_EXCEEDED;
             default -> RefusalReason.BACKEND_SERVER_FAILED;
         };
--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -11,6 +11,7 @@
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.id.ServiceId;
+import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.idempotency.ClaimDecision;
 import org.snipeslip.core.instance.EngineName;
 import org.snipeslip.core.instance.Event;
@@ -180,6 +181,17 @@
         openCalls.ownerOf(answer.request()).suspicionAnswered(answer, nowNanos, outbox);
     }
 
+    /**
+     * Returns whether a try may be sent now. Its server may have left service since the try was
+     * decided.
+     *
+     * @param tryId the try, as in {@link org.snipeslip.core.instance.Action.SendTry}
+     * @return false if the try must end with {@link TryFailure#SERVER_LEFT}
+     */
+    public boolean maySend(TryId tryId) {
+        return openCalls.ownerOf(tryId.request()).maySend(tryId);
+    }
+
     /**
      * Returns the number of calls that a shard accepted and that have no complete answer yet.
      *
--- a/core/src/main/java/org/snipeslip/core/call/CallOwner.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallOwner.java
@@ -18,6 +18,9 @@
     /** A try ended without a complete response. */
     void failed(TryId tryId, TryFailure failure, LoadReport load, long nowNanos, Outbox outbox);
 
+    /** Returns whether the request of a try that was decided earlier may be sent now. */
+    boolean maySend(TryId tryId);
+
     /** The caller closed its connection. */
     void callerDisconnected(RequestId request, long nowNanos, Outbox outbox);
 
--- a/core/src/main/java/org/snipeslip/core/call/ClosedCallOwner.java
+++ b/core/src/main/java/org/snipeslip/core/call/ClosedCallOwner.java
@@ -25,6 +25,11 @@
         // The call has ended.
     }
 
+    @Override
+    public boolean maySend(TryId tryId) {
+        return false;
+    }
+
     @Override
     public void callerDisconnected(RequestId request, long nowNanos, Outbox outbox) {
         // The call has ended.
--- a/core/src/main/java/org/snipeslip/core/call/Detour.java
+++ b/core/src/main/java/org/snipeslip/core/call/Detour.java
@@ -255,6 +255,12 @@
         }
     }
 
+    @Override
+    public boolean maySend(TryId tryId) {
+        // The instance that gets the call decides whether a server may receive it.
+        return true;
+    }
+
     @Override
     public synchronized void failed(
             TryId tryId, TryFailure failure, LoadReport load, long nowNanos, Outbox outbox) {
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -81,8 +81,8 @@
         applyReport(state, report, nowNanos);
         long latencyNanos = nowNanos - openTry.sentAtNanos;
         switch (failure) {
-            case REQUEST_BODY_BROKEN -> {
-                // Caused by the caller; it is no evidence about the server.
+            case REQUEST_BODY_BROKEN, SERVER_LEFT -> {
+                // Says nothing about how the server handles calls.
             }
             case CANCELLED -> state.load.cancelled(latencyNanos, nowNanos);
             case TIMED_OUT -> timedOut(state, latencyNanos, nowNanos);
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -50,6 +50,9 @@
     /** Assumed ratio of a route's target latency to the service time. */
     private static final double TARGET_TO_WORK_RATIO = 3;
 
+    /** Servers that leave are usually replaced within this time. */
+    private static final long REPLACEMENT_MILLIS = 500;
+
     private final CallSettings settings;
     private final InstanceLocation location;
     private final RandomGenerator random;
@@ -78,6 +81,9 @@
     private int excludedCount;
     private boolean busy;
 
+    /** Whether the last choice excluded a server because it is leaving. */
+    private boolean leaving;
+
     private int chosen = -1;
 
     ServerPool(CallSettings settings, InstanceLocation location, RandomGenerator random) {
@@ -165,6 +171,7 @@
         eligible.clear();
         excludedCount = 0;
         busy = false;
+        leaving = false;
         rateLimitWait.reset();
         chosen = -1;
         int bound = policy.candidateLimit();
@@ -305,6 +312,14 @@
         return Math.max(1, (long) (spread * eligible.score(chosen) / NANOS_PER_MILLI));
     }
 
+    /**
+     * Returns when a call returns for which the last choice found no server: a randomised time if
+     * servers are leaving, which are replaced soon; 0 if nothing is known.
+     */
+    long replacementMillis() {
+        return leaving ? (long) ((MIN_RETRY_SPREAD + random.nextDouble()) * REPLACEMENT_MILLIS) : 0;
+    }
+
     boolean isAdaptive() {
         return adaptive;
     }
@@ -355,6 +370,7 @@
             return;
         }
         busy |= exclusion == Exclusion.AT_LIMIT || exclusion == Exclusion.RUNS_SUSPECT;
+        leaving |= exclusion == Exclusion.DRAINING;
         if (exclusion == Exclusion.RATE_LIMITED) {
             rateLimitWait.add(state.allowance.nextNanos(nowNanos));
         }
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -206,6 +206,19 @@
         dispatchWaiting(nowNanos, outbox);
     }
 
+    /**
+     * Returns whether the server of a try is still in service. Between the decision and the
+     * sending, the body may arrive and a connection be opened.
+     */
+    @Override
+    public synchronized boolean maySend(TryId tryId) {
+        CallState call = calls.get(tryId.request());
+        OpenTry openTry = call == null ? null : call.findOpenTry(tryId);
+        return openTry != null
+                && pool.find(openTry.serverId) == openTry.server
+                && openTry.server.isInService();
+    }
+
     /** Decides about a call whose digest is known only now, before its request is complete. */
     @Override
     public synchronized void requestRead(
--- a/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
@@ -39,7 +39,8 @@
             return;
         }
         if (!pool.rateLimitWait().isNeeded()) {
-            calls.refuse(call, CallCompletion.reasonWithoutServer(call), 0, outbox);
+            RefusalReason reason = CallCompletion.reasonWithoutServer(call);
+            calls.refuse(call, reason, pool.replacementMillis(), outbox);
             return;
         }
         RefusalReason reason =
--- a/core/src/main/java/org/snipeslip/core/call/TryFailure.java
+++ b/core/src/main/java/org/snipeslip/core/call/TryFailure.java
@@ -8,6 +8,8 @@
     CONNECT_TIMED_OUT(false),
     /** All connections of this instance to the backend server were in use; no byte was sent. */
     NO_CONNECTION_LEFT(false),
+    /** The backend server left service before the request was sent; no byte was sent. */
+    SERVER_LEFT(false),
     /** The backend server refused the call before the work started. */
     REFUSED_NOT_RUN(false),
     /** The connection failed before a response head, and request bytes may have been sent. */
@@ -34,10 +36,13 @@
     /**
      * Returns whether any byte of the request may have reached the backend server.
      *
-     * @return false if there was no connection
+     * @return false if there was no connection, or none was used
      */
     public boolean mayHaveSent() {
-        return this != NOT_CONNECTED && this != CONNECT_TIMED_OUT && this != NO_CONNECTION_LEFT;
+        return switch (this) {
+            case NOT_CONNECTED, CONNECT_TIMED_OUT, NO_CONNECTION_LEFT, SERVER_LEFT -> false;
+            default -> true;
+        };
     }
 
     /**
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -15,6 +15,7 @@
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.id.RequestDigest;
+import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.suspect.SuspectAnswer;
 import org.snipeslip.core.suspect.SuspectChange;
 import org.snipeslip.core.suspect.SuspectMessage;
@@ -62,6 +63,11 @@
         this.stop = new StopSequence(stopSettings);
     }
 
+    @Override
+    public boolean maySend(TryId tryId) {
+        return calls.maySend(tryId);
+    }
+
     @Override
     public List<Action> handle(Event event, long nowNanos) {
         Outbox outbox = new Outbox();
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -6,6 +6,7 @@
 import org.snipeslip.core.config.ConfigCodec;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.control.ControlEngine;
+import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.idempotency.ClaimDecision;
 import org.snipeslip.core.idempotency.ClaimEnd;
 import org.snipeslip.core.idempotency.ClaimRequest;
@@ -60,6 +61,11 @@
      * @param nowNanos the current time of a monotonic clock
      * @return the actions to execute, in order
      */
+    @Override
+    public boolean maySend(TryId tryId) {
+        return calls.maySend(tryId);
+    }
+
     @Override
     public List<Action> handle(Event event, long nowNanos) {
         Outbox outbox = new Outbox();
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -148,6 +148,10 @@
                 return;
             }
         }
+        if (!relay.maySend(action.tryId())) {
+            fail(TryFailure.SERVER_LEFT, LoadReport.UNKNOWN);
+            return;
+        }
         connections.acquire(
                 action.target(),
                 relay.exchange().getIoThread(),
@@ -165,6 +169,10 @@
     }
 
     private void send(ClientConnection acquired) {
+        if (!ended && !relay.maySend(action.tryId())) {
+            // The server has left service while the connection was opened.
+            fail(TryFailure.SERVER_LEFT, LoadReport.UNKNOWN);
+        }
         if (ended) {
             connections.release(
                     action.target(),
--- a/server/src/main/java/org/snipeslip/server/http/CallEventHandler.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallEventHandler.java
@@ -1,6 +1,7 @@
 package org.snipeslip.server.http;
 
 import org.snipeslip.core.id.RequestId;
+import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.instance.Event;
 
 /** Receives the events of calls; the resulting actions are run by {@link CallRelay}. */
@@ -29,6 +30,14 @@
      */
     void handle(Event event);
 
+    /**
+     * Returns whether a try that was decided earlier may be sent now.
+     *
+     * @param tryId the try
+     * @return false if its server has left service
+     */
+    boolean maySend(TryId tryId);
+
     /**
      * Removes a call that ended, so that it receives no further actions.
      *
--- a/server/src/main/java/org/snipeslip/server/http/CallRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/CallRelay.java
@@ -102,6 +102,11 @@
         environment.eventHandler().handle(event);
     }
 
+    /** Returns whether the server of a try is still in service. */
+    boolean maySend(TryId tryId) {
+        return environment.eventHandler().maySend(tryId);
+    }
+
     /**
      * Called when the request has been read completely; starts to detect the caller's disconnect.
      */
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -119,7 +119,7 @@
         SimpleHttpClient client = new SimpleHttpClient(worker.getIoThread(), buffers);
         driver =
                 proxy.createDriver(
-                        this::handleEvent,
+                        new ObservedStateMachine(instance, this::eventHandled),
                         StoreClient.of(new OutageLoggingStore(storeFactory.apply(client))),
                         this::record,
                         (address, message) -> {
@@ -222,8 +222,7 @@
         decisionLog.close();
     }
 
-    private List<Action> handleEvent(Event event, long nowNanos) {
-        List<Action> actions = instance.handle(event, nowNanos);
+    private List<Action> eventHandled(Event event, List<Action> actions) {
         if (peerFeed != null && actions.stream().anyMatch(Action.ConfigAdopted.class::isInstance)) {
             peerFeed.configAdopted();
         }
--- a/server/src/main/java/org/snipeslip/server/runtime/JvmWarmupEnvironment.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/JvmWarmupEnvironment.java
@@ -71,7 +71,8 @@
         JvmWarmupStore store =
                 new JvmWarmupStore(settings.failureDomain(), backendListener.address().getPort());
         return proxy.createDriver(
-                (event, nowNanos) -> withoutConfigAdopted(instance.handle(event, nowNanos)),
+                new ObservedStateMachine(
+                        instance, (event, actions) -> withoutConfigAdopted(actions)),
                 StoreClient.of(store),
                 decision -> {},
                 (address, request) -> {},
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -20,6 +20,7 @@
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.id.RequestId;
+import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.instance.StateMachine;
@@ -93,6 +94,11 @@
         return relays.containsKey(request);
     }
 
+    @Override
+    public boolean maySend(TryId tryId) {
+        return stateMachine.maySend(tryId);
+    }
+
     @Override
     public void forget(RequestId request) {
         relays.remove(request);
--- a/server/src/test/java/org/snipeslip/server/http/BackendTryTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/BackendTryTest.java
@@ -38,6 +38,37 @@
         other.close();
     }
 
+    /** Guards against a slow upload that reaches a server long after the server has left. */
+    @ParameterizedTest
+    @CsvSource({"'Content-Length: 6', 'def'", "'Content-Length: 6', ''"})
+    void serverThatLeavesBeforeTheBodyIsThereGetsNothing(String field, String rest)
+            throws Exception {
+        fixture.engine.script(BackendTryTest::relayAnswerOnly);
+        String body = rest.isEmpty() ? "abcdef" : "abc";
+        try (RawSocket caller =
+                fixture.call("PUT / HTTP/1.1\r\nHost: h\r\n" + field + "\r\n\r\n" + body)) {
+            RequestId request = fixture.engine.await(Event.CallArrived.class).request();
+            TryId first = new TryId(request, 1);
+            if (rest.isEmpty()) {
+                fixture.engine.withdrawn.add(first);
+                send(request, 1, fixture.backend.server(1));
+            } else {
+                send(request, 1, fixture.backend.server(1));
+                fixture.engine.withdrawn.add(first);
+                caller.write(rest);
+            }
+            Event.TryFailed failed = fixture.engine.await(Event.TryFailed.class);
+            assertThat(failed.failure()).isEqualTo(TryFailure.SERVER_LEFT);
+            assertThat(failed.failure().mayHaveSent()).isFalse();
+            assertThat(failed.failure().mayHaveStarted()).isFalse();
+            send(request, 2, other.server(1));
+            RawSocket next = other.acceptRequest();
+            assertThat(next.read(6)).isEqualTo("abcdef");
+            next.write(OK);
+            assertThat(caller.readHead()).startsWith("HTTP/1.1 200 ");
+        }
+    }
+
     /** Guards against a hedged call that mixes two responses or does not cancel the slower try. */
     @ParameterizedTest
     @ValueSource(strings = {"", "Content-Length: 3\r\n"})
--- a/server/src/test/java/org/snipeslip/server/http/ScriptedEngine.java
+++ b/server/src/test/java/org/snipeslip/server/http/ScriptedEngine.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -24,6 +25,10 @@
     final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final Map<RequestId, CallRelay> relays = new ConcurrentHashMap<>();
     private final BackendServer target;
+
+    /** Tries whose server has left service since they were decided. */
+    final Set<TryId> withdrawn = ConcurrentHashMap.newKeySet();
+
     private volatile Script script = this::relayFirstTry;
 
     ScriptedEngine(BackendServer target) {
@@ -52,6 +57,11 @@
         return relays.containsKey(request);
     }
 
+    @Override
+    public boolean maySend(TryId tryId) {
+        return !withdrawn.contains(tryId);
+    }
+
     @Override
     public void forget(RequestId request) {
         relays.remove(request);
