Heed a backend server that says in its responses that it leaves

Until now only the entry in the store told; an instance that is cut from the store went on using the server.

The word counts in any whole response of the incarnation: success, error, refusal, answer to a probe. While its response is still being relayed the server gets no other call; if the response breaks off, the word is void. It counts for nothing from a server whose start is unknown, from another server at the address (421), from a response with another request id, and in an answer that another instance passes on. Siblings are not told: a server whose word is wrong would be lost everywhere, and each instance hears it with its first own answer. Logged as "backend server says that it leaves".

--- a/core/src/main/java/org/snipeslip/core/call/LoadReport.java
+++ b/core/src/main/java/org/snipeslip/core/call/LoadReport.java
@@ -13,6 +13,7 @@
  * @param unhealthy whether it reports that it cannot serve calls; such a report may be wrong
  * @param rateLimit the calls that it accepts from all instances together; may be known although the
  *     load is not
+ * @param leaving whether it says that it will end; may be known although the load is not
  */
 public record LoadReport(
         int inFlight,
@@ -21,7 +22,8 @@
         boolean cold,
         double slowdown,
         boolean unhealthy,
-        RateLimit rateLimit) {
+        RateLimit rateLimit,
+        boolean leaving) {
     /** The response carried no load report. */
     public static final LoadReport UNKNOWN = new LoadReport(-1, -1, false, false);
 
@@ -34,7 +36,7 @@
      * @param cold whether it reports that it is cold, for example after a start
      */
     public LoadReport(int inFlight, int slots, boolean draining, boolean cold) {
-        this(inFlight, slots, draining, cold, 1, false, RateLimit.UNKNOWN);
+        this(inFlight, slots, draining, cold, 1, false, RateLimit.UNKNOWN, false);
     }
 
     /**
@@ -43,7 +45,7 @@
      * @return the changed copy
      */
     public LoadReport asUnhealthy() {
-        return new LoadReport(inFlight, slots, draining, cold, slowdown, true, rateLimit);
+        return new LoadReport(inFlight, slots, draining, cold, slowdown, true, rateLimit, leaving);
     }
 
     /**
@@ -53,7 +55,19 @@
      * @return the changed copy
      */
     public LoadReport withRateLimit(RateLimit newRateLimit) {
-        return new LoadReport(inFlight, slots, draining, cold, slowdown, unhealthy, newRateLimit);
+        return new LoadReport(
+                inFlight, slots, draining, cold, slowdown, unhealthy, newRateLimit, leaving);
+    }
+
+    /**
+     * Returns a copy with what the response says about the end of its server.
+     *
+     * @param newLeaving whether the server says that it will end
+     * @return the changed copy
+     */
+    public LoadReport withLeaving(boolean newLeaving) {
+        return new LoadReport(
+                inFlight, slots, draining, cold, slowdown, unhealthy, rateLimit, newLeaving);
     }
 
     /**
--- a/core/src/main/java/org/snipeslip/core/call/OpenTry.java
+++ b/core/src/main/java/org/snipeslip/core/call/OpenTry.java
@@ -16,6 +16,9 @@
 
     int suspicionLevel;
 
+    /** Whether the head of the response says that the server will end. */
+    private boolean saysLeaving;
+
     /** Whether no other call of this instance may run on the server at the same time. */
     private boolean alone;
 
@@ -30,11 +33,24 @@
     void release() {
         open = false;
         server.load.ended();
+        if (saysLeaving) {
+            server.leavingResponses--;
+        }
         if (alone) {
             server.runsSuspect = false;
         }
     }
 
+    /** Keeps other calls away from the server until the response is known to be whole or broken. */
+    void sayLeaving() {
+        saysLeaving = true;
+        server.leavingResponses++;
+    }
+
+    boolean saysLeaving() {
+        return saysLeaving;
+    }
+
     /** Keeps other calls of this instance away from the server while the try is open. */
     void runAlone() {
         alone = true;
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -44,6 +44,9 @@
         ServiceLoad serviceLoad = pool.serviceLoad();
         applyRateLimit(state, report, openTry.sentAtNanos, false, nowNanos, outbox);
         applyReport(state, report, nowNanos);
+        if (report.leaving()) {
+            openTry.sayLeaving();
+        }
         long latencyNanos = nowNanos - openTry.sentAtNanos;
         boolean error = status >= MIN_ERROR_STATUS;
         state.load.observeError(error, nowNanos);
@@ -79,6 +82,9 @@
         }
         applyRateLimit(state, report, openTry.sentAtNanos, false, nowNanos, outbox);
         applyReport(state, report, nowNanos);
+        if (report.leaving()) {
+            leaving(state, false, nowNanos, outbox);
+        }
         long latencyNanos = nowNanos - openTry.sentAtNanos;
         switch (failure) {
             case REQUEST_BODY_BROKEN, SERVER_LEFT -> {
@@ -99,6 +105,20 @@
         }
     }
 
+    /**
+     * Handles a whole response whose server says that it will end. The word of a server whose start
+     * is unknown counts for nothing, because it would hold for later starts too.
+     */
+    void leaving(ServerState state, boolean byProbe, long nowNanos, Outbox outbox) {
+        if (state.leaving || state.server.incarnation() == 0) {
+            return;
+        }
+        pool.markLeaving(state, nowNanos);
+        outbox.add(
+                new Action.ServerLeaving(
+                        service, state.server.id(), state.server.incarnation(), byProbe));
+    }
+
     void cancelled(OpenTry openTry, long nowNanos) {
         openTry.server.load.cancelled(nowNanos - openTry.sentAtNanos, nowNanos);
     }
@@ -116,6 +136,10 @@
         long earliestSentNanos = nowNanos - MAX_PROBE_NANOS;
         applyRateLimit(state, report, earliestSentNanos, true, nowNanos, outbox);
         applyReport(state, report, nowNanos);
+        // An earlier answer may be one of the incarnation before.
+        if (report.leaving() && earliestSentNanos >= state.knownSinceNanos) {
+            leaving(state, true, nowNanos, outbox);
+        }
     }
 
     private void applyRateLimit(
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -70,6 +70,8 @@
     /** Earlier incarnations of restarted servers, with calls in flight. */
     private final List<ServerState> restarted = new ArrayList<>(0);
 
+    private final LeavingServers leavingServers = new LeavingServers();
+
     private final Candidates eligible = new Candidates();
     private final ServerState[] excluded = new ServerState[MAX_EXCLUDED];
     private final Exclusion[] exclusions = new Exclusion[MAX_EXCLUDED];
@@ -128,8 +130,10 @@
                 known = null;
                 wasInService = false;
             }
-            ServerState state = known == null ? new ServerState(serviceLoad, random) : known;
+            ServerState state =
+                    known == null ? new ServerState(serviceLoad, random, nowNanos) : known;
             state.configure(server, domain, location.distanceTo(domain), instanceShare);
+            state.leaving |= leavingServers.isLeaving(server, nowNanos);
             if (known == null && firstConfig) {
                 state.warmUp.startProbablyWarm();
             } else if (!wasInService && state.isInService()) {
@@ -140,6 +144,7 @@
         }
         detached.putAll(previous);
         detached.values().removeIf(state -> state.isForgettable(nowNanos));
+        leavingServers.expire(nowNanos);
         byDistance = byId.values().toArray(ServerState[]::new);
         Comparator<ServerState> nearestFirst = Comparator.comparing(state -> state.load.distance());
         Arrays.sort(byDistance, nearestFirst.thenComparing(state -> state.server.id()));
@@ -153,6 +158,12 @@
         }
     }
 
+    /** Remembers for the life of the incarnation that a server has said that it will end. */
+    void markLeaving(ServerState state, long nowNanos) {
+        state.leaving = true;
+        leavingServers.add(state.server, nowNanos);
+    }
+
     /** Keeps counting the calls in flight to the earlier incarnation of a restarted server. */
     private void detachRestarted(ServerState old) {
         if (old.load.inFlight() > 0) {
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -42,6 +42,15 @@
     boolean drainReported;
     boolean coldReported;
 
+    /** Whether it has said that it will end; true for the rest of its life. */
+    boolean leaving;
+
+    /** Open responses whose heads say so; only a whole response counts for longer. */
+    int leavingResponses;
+
+    /** When this incarnation became known. */
+    final long knownSinceNanos;
+
     /** Whether it runs a request that may crash it, so that other calls are kept away. */
     boolean runsSuspect;
 
@@ -54,7 +63,8 @@
     private int coldCallShare;
     private long coldUntilNanos = WarmUpPlan.WARM;
 
-    ServerState(ServiceLoad service, RandomGenerator random) {
+    ServerState(ServiceLoad service, RandomGenerator random, long nowNanos) {
+        this.knownSinceNanos = nowNanos;
         this.service = service;
         this.allowance = new CallAllowance(random);
         this.load = new ServerLoad(service);
@@ -85,7 +95,7 @@
     }
 
     boolean isDraining() {
-        return server.draining() || drainReported;
+        return server.draining() || drainReported || leaving || leavingResponses > 0;
     }
 
     boolean isInService() {
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -169,6 +169,9 @@
         }
         openTry.release();
         calls.end(call);
+        if (openTry.saysLeaving()) {
+            feedback.leaving(openTry.server, false, nowNanos, outbox);
+        }
         CallCompletion.endAnswered(call, answer, outbox);
         dispatchWaiting(nowNanos, outbox);
     }
--- a/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardProbes.java
@@ -126,7 +126,7 @@
      * region that no route of the service may use, needs none.
      */
     private boolean mayProbe(ServerState state) {
-        if (!state.failureDomainInService || state.server.draining()) {
+        if (!state.failureDomainInService || state.server.draining() || state.leaving) {
             return false;
         }
         for (Route route : routes) {
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -190,6 +190,18 @@
             boolean byProbe)
             implements Action {}
 
+    /**
+     * Reports that a backend server has said that it will end, for the log.
+     *
+     * @param service the service
+     * @param backendServer the backend server
+     * @param incarnation the start of the server that said it
+     * @param byProbe whether the response was one to a probe
+     */
+    record ServerLeaving(
+            ServiceId service, BackendServerId backendServer, long incarnation, boolean byProbe)
+            implements Action {}
+
     /**
      * Reports that the store was restored from a copy, for the log.
      *
--- a/core/src/test/java/org/snipeslip/core/call/FakeDeployment.java
+++ b/core/src/test/java/org/snipeslip/core/call/FakeDeployment.java
@@ -108,6 +108,9 @@
                 case Action.ReplayAnswer a -> calls.get(a.request()).finalActions++;
                 case Action.SetTimer a -> setTimer(engine, a.timer(), a.delayNanos());
                 case Action.SendProbe a -> probe(engine, a);
+                case Action.ServerLeaving a -> {
+                    // Only logged.
+                }
                 case Action.RateLimitChanged a -> {
                     // Only logged.
                 }
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -283,6 +283,10 @@
         HeaderMap headers = response.getResponseHeaders();
         HttpDialect dialect = relay.dialect();
         LoadReport load = dialect.readLoad(headers);
+        if (action.handover() != null) {
+            // The response of an instance that got the call says nothing about that instance.
+            load = load.withLeaving(false);
+        }
         int status = response.getResponseCode();
         if (!matchesRequestId(headers)) {
             // A late response to an earlier request: the response to this one cannot be identified.
--- a/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
@@ -14,6 +14,8 @@
  * @param load load of a backend server in its responses
  * @param rateLimit calls a second that a backend server accepts from all instances together, a
  *     decimal number in its responses; null if servers name no limit
+ * @param leaving 1 in the responses of a backend server that will end; null if servers do not say
+ *     so
  * @param notRun present in a response if the backend server did not start to process the call
  * @param expectedServer name of the backend server that a call is addressed to; a server with
  *     another name refuses it with 421; null if servers do not check it
@@ -34,6 +36,7 @@
         HttpString deadlineMillis,
         HttpString load,
         HttpString rateLimit,
+        HttpString leaving,
         HttpString notRun,
         HttpString expectedServer,
         HttpString serverName,
@@ -52,6 +55,7 @@
                     SnipeslipHeaders.DEADLINE_MILLIS,
                     SnipeslipHeaders.LOAD,
                     null,
+                    null,
                     SnipeslipHeaders.NOT_RUN,
                     null,
                     null,
@@ -62,11 +66,15 @@
                     IDLE_MILLIS,
                     false);
 
-    /** Reads what a response says about the load and the rate limit of its backend server. */
+    /** Value of the field of a backend server that will end; any other value says nothing. */
+    private static final String LEAVING = "1";
+
+    /** Reads what a response says about its backend server: load, rate limit and coming end. */
     LoadReport readLoad(HeaderMap headers) {
         return loadReader
                 .apply(headers.getFirst(load))
-                .withRateLimit(RateLimitHeader.read(rateLimit, headers));
+                .withRateLimit(RateLimitHeader.read(rateLimit, headers))
+                .withLeaving(leaving != null && LEAVING.equals(headers.getFirst(leaving)));
     }
 
     /**
@@ -80,6 +88,7 @@
                 deadlineMillis,
                 load,
                 rateLimit,
+                leaving,
                 notRun,
                 expectedServer,
                 serverName,
--- a/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
@@ -178,7 +178,7 @@
             LoadReport load = dialect.readLoad(headers);
             boolean ok = response.getResponseCode() == OK;
             if (purpose != Purpose.LOAD
-                    || !load.isKnown()
+                    || !load.isKnown() && !load.leaving()
                     || !isFromTarget(headers)
                     || !ok && dialect.serverName() == null) {
                 fail(isFromTarget(headers) ? ServerPresence.RUNNING : ServerPresence.GONE);
@@ -191,7 +191,8 @@
                         REQUEST_BYTES
                                 + action.path().length()
                                 + BackendConnectionPool.authority(action.target()).length();
-                long sizeBytes = requestBytes + RESPONSE_BYTES + loadValue.length() + body.length();
+                int loadBytes = loadValue == null ? 0 : loadValue.length();
+                long sizeBytes = requestBytes + RESPONSE_BYTES + loadBytes + body.length();
                 events.accept(
                         new Event.ProbeAnswered(
                                 action.service(),
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -144,6 +144,7 @@
                 case Action.SendPeerMessage a -> peerSender.accept(a.address(), a.message());
                 case Action.SendProbe a -> probeSender.send(a);
                 case Action.RateLimitChanged a -> logRateLimit(a);
+                case Action.ServerLeaving a -> logServerLeaving(a);
                 case Action.StoreRestored a -> logStoreRestored(a);
                 case Action.CheckServer a -> probeSender.check(a);
                 case Action.TestLink a -> probeSender.test(a);
@@ -210,6 +211,15 @@
                 .log("rate limit of a backend server changed");
     }
 
+    private static void logServerLeaving(Action.ServerLeaving leaving) {
+        LOG.atInfo()
+                .addKeyValue("service", leaving.service())
+                .addKeyValue("backendServer", leaving.backendServer())
+                .addKeyValue("incarnation", leaving.incarnation())
+                .addKeyValue("source", leaving.byProbe() ? "probe" : "call")
+                .log("backend server says that it leaves");
+    }
+
     private void logStoreRestored(Action.StoreRestored restored) {
         metrics.storeRestored();
         LOG.atWarn()
--- a/server/src/test/java/org/snipeslip/server/http/CallerRequestIdTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/CallerRequestIdTest.java
@@ -26,6 +26,7 @@
                     new HttpString("Time-Left"),
                     new HttpString("Load"),
                     new HttpString("Limit"),
+                    new HttpString("Leaving"),
                     new HttpString("Refused"),
                     new HttpString("Meant-For"),
                     new HttpString("Server-Name"),
@@ -151,6 +152,48 @@
         }
     }
 
+    /**
+     * Guards against the word of another server, or a field without a meaning, that ends a server.
+     */
+    @ParameterizedTest
+    @CsvSource({"503, 1, true", "503, 0, false", "503, '1, 1', false", "421, 1, false"})
+    void onlyTheServerItselfSaysThatItLeaves(int status, String value, boolean leaving)
+            throws Exception {
+        try (RawSocket caller = fixture.call(GET)) {
+            RawSocket connection = fixture.backend.acceptRequest();
+            connection.write(
+                    "HTTP/1.1 "
+                            + status
+                            + " X\r\nCall-Name: c1\r\nRefused: 1\r\nLeaving: "
+                            + value
+                            + "\r\nContent-Length: 0\r\n\r\n");
+            assertThat(fixture.engine.await(Event.TryFailed.class).load().leaving())
+                    .isEqualTo(leaving);
+            assertThat(caller.readHead()).isNotEmpty();
+        }
+    }
+
+    /** Guards against a server whose answers say that it leaves, and nobody hears it. */
+    @ParameterizedTest
+    @CsvSource({"200, c1, true", "500, c1, true", "200, c0, false"})
+    void wordOfAResponseIsReported(int status, String name, boolean reported) throws Exception {
+        try (RawSocket caller = fixture.call(GET)) {
+            RawSocket connection = fixture.backend.acceptRequest();
+            connection.write(
+                    "HTTP/1.1 "
+                            + status
+                            + " X\r\nCall-Name: "
+                            + name
+                            + "\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
+            if (reported) {
+                assertThat(fixture.engine.await(Event.TryAnswered.class).load().leaving()).isTrue();
+                assertThat(caller.readHead()).contains("Leaving: 1\r\n");
+            } else {
+                assertThat(fixture.engine.await(Event.TryFailed.class).load().leaving()).isFalse();
+            }
+        }
+    }
+
     /** Without the not-run field, a 503 of a backend server is relayed like any other response. */
     @Test
     void errorWithoutNotRunFieldIsRelayed() throws Exception {
--- a/server/src/test/java/org/snipeslip/server/scenario/SimulatedInstance.java
+++ b/server/src/test/java/org/snipeslip/server/scenario/SimulatedInstance.java
@@ -126,6 +126,9 @@
                 crash();
             }
             case Action.SendProbe a -> simulation.probe(this, a);
+            case Action.ServerLeaving a -> {
+                // Only logged.
+            }
             case Action.RateLimitChanged a -> {
                 // Only logged.
             }
