Hand servers the time that is left when a request is sent

A request whose body came for 3.1 s was sent with Deadline-Ms 9990 where 6900 ms were left; the server goes on after the caller has left.

Cause: BackendTry took the time that was left when the try was decided, before the body was read.

Change: the time since the decision is taken off.

Test: BackendTryTest.timeOfTheUploadIsNotHandedToTheServer, failed before.

--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -31,6 +31,7 @@
     private ClientConnection connection;
     private ResponseConduit responses;
     private ClientExchange clientExchange;
+    private final long decidedNanos = System.nanoTime();
     private XnioExecutor.Key timeout;
     private BodyPump requestPump;
     private ResponseRelay responseRelay;
@@ -351,8 +352,10 @@
         return true;
     }
 
+    /** Returns the time left now; the body may have taken long since the try was decided. */
     private long remainingMillis() {
-        return Math.max(1, action.remainingNanos() / NANOS_PER_MILLI);
+        long elapsedNanos = System.nanoTime() - decidedNanos;
+        return Math.max(1, (action.remainingNanos() - elapsedNanos) / NANOS_PER_MILLI);
     }
 
     private ClientCallback<ClientExchange> callback(
--- a/server/src/test/java/org/snipeslip/server/http/BackendTryTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/BackendTryTest.java
@@ -69,6 +69,28 @@
         }
     }
 
+    /** Guards against a server that is handed the time that its request took to arrive. */
+    @Test
+    void timeOfTheUploadIsNotHandedToTheServer() throws Exception {
+        fixture.engine.script(BackendTryTest::relayAnswerOnly);
+        try (RawSocket caller =
+                fixture.call("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc")) {
+            RequestId request = fixture.engine.await(Event.CallArrived.class).request();
+            Action.SendTry sent = ScriptedEngine.send(request, 1, fixture.backend.server(1));
+            fixture.engine.execute(sent);
+            long sentNanos = System.nanoTime();
+            while (System.nanoTime() - sentNanos < 200_000_000) {
+                Thread.onSpinWait();
+            }
+            caller.write("def");
+            RawSocket connection = fixture.backend.accept();
+            String field = SnipeslipHeaders.DEADLINE_MILLIS + ": ";
+            String head = connection.readHead();
+            String value = head.substring(head.indexOf(field) + field.length()).split("\r")[0];
+            assertThat(Long.parseLong(value)).isLessThan(sent.remainingNanos() / 1_000_000 - 150);
+        }
+    }
+
     /** Guards against a hedged call that mixes two responses or does not cancel the slower try. */
     @ParameterizedTest
     @ValueSource(strings = {"", "Content-Length: 3\r\n"})
