--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -31,8 +31,6 @@
  * server and handles the response. Thread-safe; each service has its own lock.
  */
 public final class CallEngine {
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
     /** Usual time from the start of an instance until it has read its configuration. */
     private static final long STARTUP_MILLIS = 300;
 
@@ -370,24 +368,8 @@
             HomeRegions homeRegions,
             long nowNanos,
             Outbox outbox) {
-        CallHead head = arrived.head();
-        long limitNanos = route.deadlineMillis() * NANOS_PER_MILLI;
-        long remainingNanos =
-                head.remainingNanos() > 0
-                        ? Math.min(head.remainingNanos(), limitNanos)
-                        : limitNanos;
-        CallState call =
-                new CallState(
-                        arrived.request(),
-                        head,
-                        route,
-                        homeRegions,
-                        organisation == null ? 1 : organisation.weight(),
-                        nowNanos,
-                        nowNanos + remainingNanos);
-        int retries = (route.maxTries() > 0 ? route.maxTries() : settings.maxTries()) - 1;
-        call.retriesLeft =
-                head.retriesLeft() >= 0 ? Math.min(head.retriesLeft(), retries) : retries;
+        int weight = organisation == null ? 1 : organisation.weight();
+        CallState call = CallState.of(arrived, route, homeRegions, weight, settings, nowNanos);
         if (detour.isCutOff()) {
             if (!detour.take(call, true, nowNanos, outbox)) {
                 Refusal refusal = Refusal.notRun(RefusalReason.CUT_OFF, Detour.RETRY_AFTER_MILLIS);
--- a/core/src/main/java/org/snipeslip/core/call/CallState.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallState.java
@@ -7,12 +7,15 @@
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.TryId;
 import org.snipeslip.core.idempotency.ClaimRequest;
+import org.snipeslip.core.instance.Event;
 import org.snipeslip.core.retry.RetryRule;
 import org.snipeslip.core.routing.HomeRegions;
 import org.snipeslip.core.suspect.Verdict;
 
 /** One open call. Guarded by the lock of its {@link ServiceShard}. */
 final class CallState {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     final RequestId request;
     final CallHead head;
     final Route route;
@@ -84,6 +87,35 @@
         this.idempotent = route.isIdempotent(head.method());
     }
 
+    /** Creates the state of an arriving call, whose time and retries the route and caller limit. */
+    static CallState of(
+            Event.CallArrived arrived,
+            Route route,
+            HomeRegions homeRegions,
+            int weight,
+            CallSettings settings,
+            long nowNanos) {
+        CallHead head = arrived.head();
+        long limitNanos = route.deadlineMillis() * NANOS_PER_MILLI;
+        long remainingNanos =
+                head.remainingNanos() > 0
+                        ? Math.min(head.remainingNanos(), limitNanos)
+                        : limitNanos;
+        CallState call =
+                new CallState(
+                        arrived.request(),
+                        head,
+                        route,
+                        homeRegions,
+                        weight,
+                        nowNanos,
+                        nowNanos + remainingNanos);
+        int retries = (route.maxTries() > 0 ? route.maxTries() : settings.maxTries()) - 1;
+        call.retriesLeft =
+                head.retriesLeft() >= 0 ? Math.min(head.retriesLeft(), retries) : retries;
+        return call;
+    }
+
     ClaimRequest claimRequest() {
         return new ClaimRequest(
                 request,
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -105,11 +105,18 @@
         }
     }
 
+    /** Handles a response that was relayed to its end. */
+    void completed(OpenTry openTry, long nowNanos, Outbox outbox) {
+        if (openTry.saysLeaving()) {
+            leaving(openTry.server, false, nowNanos, outbox);
+        }
+    }
+
     /**
      * Handles a whole response whose server says that it will end. The word of a server whose start
      * is unknown counts for nothing, because it would hold for later starts too.
      */
-    void leaving(ServerState state, boolean byProbe, long nowNanos, Outbox outbox) {
+    private void leaving(ServerState state, boolean byProbe, long nowNanos, Outbox outbox) {
         if (state.leaving || state.server.incarnation() == 0) {
             return;
         }
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -64,12 +64,7 @@
     private final RateLimitWait rateLimitWait;
     private final Map<BackendServerId, ServerState> byId = new HashMap<>();
 
-    /** Removed servers whose state is reused if they are added again soon. */
-    private final Map<BackendServerId, ServerState> detached = new HashMap<>();
-
-    /** Earlier incarnations of restarted servers, with calls in flight. */
-    private final List<ServerState> restarted = new ArrayList<>(0);
-
+    private final RemovedServers removed = new RemovedServers();
     private final LeavingServers leavingServers = new LeavingServers();
 
     private final Candidates eligible = new Candidates();
@@ -123,10 +118,10 @@
             ServerState known = previous.remove(server.id());
             boolean wasInService = known != null && known.isInService();
             if (known == null) {
-                known = detached.remove(server.id());
+                known = removed.takeBack(server.id());
             }
             if (known != null && known.server.incarnation() != server.incarnation()) {
-                detachRestarted(known);
+                removed.addRestarted(known);
                 known = null;
                 wasInService = false;
             }
@@ -142,8 +137,7 @@
             }
             byId.put(server.id(), state);
         }
-        detached.putAll(previous);
-        detached.values().removeIf(state -> state.isForgettable(nowNanos));
+        removed.add(previous, nowNanos);
         leavingServers.expire(nowNanos);
         byDistance = byId.values().toArray(ServerState[]::new);
         Comparator<ServerState> nearestFirst = Comparator.comparing(state -> state.load.distance());
@@ -164,14 +158,6 @@
         leavingServers.add(state.server, nowNanos);
     }
 
-    /** Keeps counting the calls in flight to the earlier incarnation of a restarted server. */
-    private void detachRestarted(ServerState old) {
-        if (old.load.inFlight() > 0) {
-            restarted.removeIf(state -> state.load.inFlight() == 0);
-            restarted.add(old);
-        }
-    }
-
     /**
      * Selects a server for the next try of a call. The candidates are kept until the next call of
      * this method, for {@link #snapshot} and the methods about the chosen server.
@@ -259,16 +245,10 @@
 
     /** Returns this instance's calls in flight, including those to removed servers. */
     int inFlight() {
-        int sum = 0;
+        int sum = removed.inFlight();
         for (ServerState state : byDistance) {
             sum += state.load.inFlight();
         }
-        for (ServerState state : detached.values()) {
-            sum += state.load.inFlight();
-        }
-        for (ServerState state : restarted) {
-            sum += state.load.inFlight();
-        }
         return sum;
     }
 
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -5,7 +5,6 @@
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.config.Service;
 import org.snipeslip.core.id.BackendServerId;
-import org.snipeslip.core.id.RequestDigest;
 import org.snipeslip.core.id.RequestId;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.id.TryId;
@@ -169,9 +168,7 @@
         }
         openTry.release();
         calls.end(call);
-        if (openTry.saysLeaving()) {
-            feedback.leaving(openTry.server, false, nowNanos, outbox);
-        }
+        feedback.completed(openTry, nowNanos, outbox);
         CallCompletion.endAnswered(call, answer, outbox);
         dispatchWaiting(nowNanos, outbox);
     }
@@ -188,8 +185,7 @@
         feedback.failed(openTry, failure, load, nowNanos, outbox);
         if (failure.lostConnection()) {
             call.lostTryCount++;
-            RequestDigest digest = suspects.digestOf(call);
-            decisions.recordLost(call, openTry, failure, digest, nowNanos, outbox);
+            decisions.recordLost(call, openTry, failure, suspects.digestOf(call), nowNanos, outbox);
             suspects.lost(call, openTry, nowNanos, outbox);
         } else if (failure.malformedResponse()) {
             decisions.recordLost(call, openTry, failure, null, nowNanos, outbox);
@@ -209,17 +205,9 @@
         dispatchWaiting(nowNanos, outbox);
     }
 
-    /**
-     * Returns whether the server of a try is still in service. Between the decision and the
-     * sending, the body may arrive and a connection be opened.
-     */
     @Override
     public synchronized boolean maySend(TryId tryId) {
-        CallState call = calls.get(tryId.request());
-        OpenTry openTry = call == null ? null : call.findOpenTry(tryId);
-        return openTry != null
-                && pool.find(openTry.serverId) == openTry.server
-                && openTry.server.isInService();
+        return sender.maySend(calls.get(tryId.request()), tryId);
     }
 
     /** Decides about a call whose digest is known only now, before its request is complete. */
--- a/core/src/main/java/org/snipeslip/core/call/ShardSender.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardSender.java
@@ -83,6 +83,19 @@
         }
     }
 
+    /**
+     * Returns whether the server of a try is still in service. Between the decision and the
+     * sending, the body may arrive and a connection be opened.
+     *
+     * @param call the call, or null if it has ended
+     */
+    boolean maySend(CallState call, TryId tryId) {
+        OpenTry openTry = call == null ? null : call.findOpenTry(tryId);
+        return openTry != null
+                && pool.find(openTry.serverId) == openTry.server
+                && openTry.server.isInService();
+    }
+
     /** Cancels the open tries, except the one whose response is being relayed. */
     void cancelOpenTries(CallState call, long nowNanos, Outbox outbox) {
         for (OpenTry openTry : call.tries) {
--- a/core/src/test/java/org/snipeslip/core/call/LeavingServerTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/LeavingServerTest.java
@@ -179,7 +179,7 @@
                         word == Word.BROKEN ? TryFailure.BROKEN_BODY : TryFailure.MALFORMED_BODY;
                 handle(new Event.TryFailed(sent.tryId(), failure, LoadReport.UNKNOWN));
             }
-            case MALFORMED ->
+            default ->
                     handle(
                             new Event.TryFailed(
                                     sent.tryId(), TryFailure.MALFORMED, LoadReport.UNKNOWN));
