--- a/core/src/test/java/org/snipeslip/core/call/DeploymentFixtures.java
+++ b/core/src/test/java/org/snipeslip/core/call/DeploymentFixtures.java
@@ -13,6 +13,7 @@
 import org.snipeslip.core.config.Organisation;
 import org.snipeslip.core.config.Route;
 import org.snipeslip.core.config.Service;
+import org.snipeslip.core.config.WarmUpPlan;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.Generation;
@@ -52,6 +53,21 @@
                 new BackendServerId(name), "127.0.0.1", 1, id, slots, 220, draining);
     }
 
+    /** Returns one start of a server with two slots in failure domain a1. */
+    static BackendServer server(int number, long incarnation, boolean draining) {
+        BackendServer server = server("s" + number, DOMAINS[0], 2, draining);
+        return new BackendServer(
+                server.id(),
+                server.host(),
+                server.port(),
+                server.failureDomain(),
+                server.slots(),
+                server.connectionLimit(),
+                draining,
+                incarnation,
+                WarmUpPlan.NONE);
+    }
+
     static List<BackendServer> servers(int count, int slots, String... domains) {
         List<BackendServer> servers = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/core/src/test/java/org/snipeslip/core/call/LeavingServerTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/LeavingServerTest.java
@@ -15,7 +15,6 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.snipeslip.core.config.BackendServer;
-import org.snipeslip.core.config.WarmUpPlan;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
@@ -124,10 +123,29 @@
         }
     }
 
+    /** Guards against requests that are cut because their server says that it leaves. */
+    @Test
+    void callsOnTheirWayAreNotCut() {
+        configure(List.of(DeploymentFixtures.server(0, 1, false)));
+        nowNanos += SECOND;
+        sent(arrive());
+        List<Action> actions =
+                handle(
+                        new Event.ProbeAnswered(
+                                DeploymentFixtures.SERVICE,
+                                DeploymentFixtures.server(0, 1, false).id(),
+                                LoadReport.UNKNOWN.withLeaving(true),
+                                1));
+        assertThat(actions).hasAtLeastOneElementOfType(Action.ServerLeaving.class);
+        assertThat(actions)
+                .noneMatch(Action.CancelTry.class::isInstance)
+                .noneMatch(Action.RefuseCaller.class::isInstance);
+    }
+
     /** Guards against calls that wait for their deadline when the last server leaves. */
     @Test
     void callsAreRefusedAtOnceWhenTheLastServerLeaves() {
-        configure(List.of(server(0, 1)));
+        configure(List.of(DeploymentFixtures.server(0, 1, false)));
         Action.SendTry first = sent(arrive());
         List<Action> queued = List.of();
         while (queued.stream().noneMatch(LeavingServerTest::isQueued)) {
@@ -148,13 +166,15 @@
     void memoryIsBoundedAndEnds() {
         LeavingServers leaving = new LeavingServers();
         for (int i = 0; i < 10_000; i++) {
-            leaving.add(server(i, 1), nowNanos);
+            leaving.add(DeploymentFixtures.server(i, 1, false), nowNanos);
         }
         assertThat(leaving.size()).isEqualTo(4_096);
-        assertThat(leaving.isLeaving(server(9_999, 1), nowNanos)).isTrue();
-        assertThat(leaving.isLeaving(server(0, 1), nowNanos)).isFalse();
+        assertThat(leaving.isLeaving(DeploymentFixtures.server(9_999, 1, false), nowNanos))
+                .isTrue();
+        assertThat(leaving.isLeaving(DeploymentFixtures.server(0, 1, false), nowNanos)).isFalse();
         nowNanos += 400 * SECOND;
-        assertThat(leaving.isLeaving(server(9_000, 1), nowNanos)).isTrue();
+        assertThat(leaving.isLeaving(DeploymentFixtures.server(9_000, 1, false), nowNanos))
+                .isTrue();
         nowNanos += 400 * SECOND;
         leaving.expire(nowNanos);
         assertThat(leaving.size()).isEqualTo(1);
@@ -225,7 +245,7 @@
     private static List<BackendServer> servers(long incarnation) {
         List<BackendServer> servers = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            servers.add(server(i, incarnation));
+            servers.add(DeploymentFixtures.server(i, incarnation, false));
         }
         return servers;
     }
@@ -234,20 +254,6 @@
         return servers(1).stream().filter(each -> !each.id().equals(server)).toList();
     }
 
-    private static BackendServer server(int number, long incarnation) {
-        BackendServer server = DeploymentFixtures.server("s" + number, "a1", 2, false);
-        return new BackendServer(
-                server.id(),
-                server.host(),
-                server.port(),
-                server.failureDomain(),
-                server.slots(),
-                server.connectionLimit(),
-                false,
-                incarnation,
-                WarmUpPlan.NONE);
-    }
-
     private List<Action> arrive() {
         CallHead head =
                 new CallHead(
--- a/core/src/test/java/org/snipeslip/core/call/SendCheckTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/SendCheckTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.snipeslip.core.config.BackendServer;
-import org.snipeslip.core.config.WarmUpPlan;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
 import org.snipeslip.core.id.RequestId;
@@ -57,10 +56,10 @@
     /** Guards against a call that waits for its deadline when the last server has left. */
     @Test
     void callIsRefusedAsNotRunWithoutAnotherServer() {
-        List<BackendServer> one = List.of(server(0, 1, false));
+        List<BackendServer> one = List.of(DeploymentFixtures.server(0, 1, false));
         configure(one, Set.of());
         Action.SendTry first = sent(arrive("POST"));
-        configure(List.of(server(0, 1, true)), Set.of());
+        configure(List.of(DeploymentFixtures.server(0, 1, true)), Set.of());
         Refusal refusal = refusal(serverLeft(first));
         assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
         assertThat(refusal.reason()).isEqualTo(RefusalReason.NO_BACKEND_SERVER);
@@ -80,12 +79,12 @@
     private void leave(Action.SendTry sent, Departure departure) {
         List<BackendServer> now = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            BackendServer before = server(i, 1, false);
+            BackendServer before = DeploymentFixtures.server(i, 1, false);
             if (!before.id().equals(sent.target().id())) {
                 now.add(before);
             } else if (departure != Departure.REMOVED) {
                 long incarnation = departure == Departure.RESTARTED ? 2 : 1;
-                now.add(server(i, incarnation, departure == Departure.DRAINING));
+                now.add(DeploymentFixtures.server(i, incarnation, departure == Departure.DRAINING));
             }
         }
         configure(now, departure == Departure.EVACUATED ? Set.of("a1") : Set.of());
@@ -106,25 +105,11 @@
     private static List<BackendServer> servers() {
         List<BackendServer> servers = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            servers.add(server(i, 1, false));
+            servers.add(DeploymentFixtures.server(i, 1, false));
         }
         return servers;
     }
 
-    private static BackendServer server(int number, long incarnation, boolean draining) {
-        BackendServer server = DeploymentFixtures.server("s" + number, "a1", 2, draining);
-        return new BackendServer(
-                server.id(),
-                server.host(),
-                server.port(),
-                server.failureDomain(),
-                server.slots(),
-                server.connectionLimit(),
-                draining,
-                incarnation,
-                WarmUpPlan.NONE);
-    }
-
     private List<Action> arrive(String method) {
         CallHead head =
                 new CallHead(method, "h", "/free", null, null, "", 0, 0, -1, true, null, null);
