Put the comment of Instance.handle back to its method

maySend had been inserted between the comment and its method; HttpDialect has its constants together again. No change of behaviour.

--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -54,6 +54,11 @@
                 new StoreCallLimiter(settings.control().store(), new SplittableRandom(seed + 2));
     }
 
+    @Override
+    public boolean maySend(TryId tryId) {
+        return calls.maySend(tryId);
+    }
+
     /**
      * Handles an event.
      *
@@ -61,11 +66,6 @@
      * @param nowNanos the current time of a monotonic clock
      * @return the actions to execute, in order
      */
-    @Override
-    public boolean maySend(TryId tryId) {
-        return calls.maySend(tryId);
-    }
-
     @Override
     public List<Action> handle(Event event, long nowNanos) {
         Outbox outbox = new Outbox();
--- a/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
@@ -48,6 +48,9 @@
         boolean logsCallEnds) {
     private static final long IDLE_MILLIS = 60_000;
 
+    /** Value of the field of a backend server that will end; any other value says nothing. */
+    private static final String LEAVING = "1";
+
     /** The header fields that snipeslip defines. */
     public static final HttpDialect SNIPESLIP =
             new HttpDialect(
@@ -66,9 +69,6 @@
                     IDLE_MILLIS,
                     false);
 
-    /** Value of the field of a backend server that will end; any other value says nothing. */
-    private static final String LEAVING = "1";
-
     /** Reads what a response says about its backend server: load, rate limit and coming end. */
     LoadReport readLoad(HeaderMap headers) {
         return loadReader
