Show that quick versions of a large configuration stop following it

Case 8, rule CONFIG: after 25 versions of a configuration of 945,000 bytes within 2 s, instances answer 404 for an acknowledged route and run orders at the service that no longer has them, up to 9 s after the acknowledgement. At fault: SimpleHttpClient fails an answer above 4 MiB, and WatchCache repeats the same watch instead of reading the list.

--- a/review/standin-2/CaseMain.java
+++ b/review/standin-2/CaseMain.java
@@ -19,6 +19,7 @@
                     switch (args[0]) {
                         case "6" -> Case6.isRuleBroken(record, stage);
                         case "7" -> Case7.isRuleBroken(record, stage);
+                        case "8" -> Case8.isRuleBroken(record, stage);
                         case "9" -> Case9.isRuleBroken(record, stage);
                         default -> throw new IllegalArgumentException("no case " + args[0]);
                     };
