Show that added machines let a cold upstream get more than it tolerates

At fault: the old instances read the list of instances every 25 s only (InstanceRegistry), so they divide the whole bound among four, and the new ones take parts beside it.

--- a/review/standin-2/Case9.java
+++ b/review/standin-2/Case9.java
@@ -145,7 +145,7 @@
                                 : "");
             }
         }
-        int most = mostInOneSecond(upstreams.getFirst());
+        int most = mostInOneSecond(upstreams.getFirst(), SENT_NANOS, coldFromNanos);
         record.result(
                 "%d of %d requests answered with success, %d with 502%s",
                 answered.get(), sent, lost.get(), crashed ? "; the cold upstream crashed" : "");
@@ -177,19 +177,23 @@
         }
     }
 
-    /** Returns the most requests that were sent and arrived within a second while it was cold. */
-    private static int mostInOneSecond(Upstream upstream) {
-        long coldEndNanos = coldFromNanos + COLD_NANOS;
+    /**
+     * Returns the most requests that were sent and arrived within a second while an upstream was
+     * cold.
+     */
+    static int mostInOneSecond(
+            Upstream upstream, Map<String, Long> sentNanos, long coldStartNanos) {
+        long coldEndNanos = coldStartNanos + COLD_NANOS;
         int most = 0;
         for (Upstream.Request first : upstream.runs) {
-            long fromNanos = SENT_NANOS.get(first.id());
-            if (fromNanos < coldFromNanos || fromNanos >= coldEndNanos) {
+            long fromNanos = sentNanos.get(first.id());
+            if (fromNanos < coldStartNanos || fromNanos >= coldEndNanos) {
                 continue;
             }
             int count = 0;
             for (Upstream.Request each : upstream.runs) {
                 boolean inside =
-                        SENT_NANOS.get(each.id()) >= fromNanos
+                        sentNanos.get(each.id()) >= fromNanos
                                 && each.atNanos() < Math.min(coldEndNanos, fromNanos + SECOND_NANOS);
                 count += inside ? 1 : 0;
             }
--- a/review/standin-2/CaseMain.java
+++ b/review/standin-2/CaseMain.java
@@ -20,6 +20,7 @@
                         case "6" -> Case6.isRuleBroken(record, stage);
                         case "7" -> Case7.isRuleBroken(record, stage);
                         case "8" -> Case8.isRuleBroken(record, stage);
+                        case "10" -> Case10.isRuleBroken(record, stage);
                         case "9" -> Case9.isRuleBroken(record, stage);
                         default -> throw new IllegalArgumentException("no case " + args[0]);
                     };
--- a/review/standin-2/Stage.java
+++ b/review/standin-2/Stage.java
@@ -25,6 +25,16 @@
         return upstream;
     }
 
+    /** Starts an upstream, which registers itself as cold. */
+    Upstream addCold(
+            String service, String zone, int slots, Upstream.Work work, double warmUpSeconds)
+            throws IOException {
+        Upstream upstream = new Upstream("i-" + upstreams.size(), service, zone, slots, work);
+        upstreams.add(upstream);
+        store.put("servers", upstream.id, upstream.entry("ready", 1, warmUpSeconds));
+        return upstream;
+    }
+
     /** Starts an instance in each of some zones, and waits until all say that they are ready. */
     void startInstances(String... zones) throws IOException, InterruptedException {
         for (String zone : zones) {
