--- a/review/standin-2/Case10.java
+++ b/review/standin-2/Case10.java
@@ -110,7 +110,8 @@
                 "%d of %d requests answered with success, %d with 502%s",
                 answered.get(), sent, lost.get(), crashed ? "; the cold upstream crashed" : "");
         record.result(
-                "while cold, %s got up to %d requests in one second from %d instances; allowed are %.2f",
+                "while cold, %s got up to %d requests in one second from %d instances; allowed are"
+                        + " %.2f",
                 added.id, most, stage.instances.size(), BOUND);
         return most > BOUND;
     }
--- a/review/standin-2/Case6.java
+++ b/review/standin-2/Case6.java
@@ -106,7 +106,8 @@
             each.join();
         }
         record.result(
-                "%d of %d orders ran and were answered with a status that promises the opposite; %d of them were then repeated and carried out twice",
+                "%d of %d orders ran and were answered with a status that promises the opposite; %d"
+                        + " of them were then repeated and carried out twice",
                 broken.get(), orders.get(), twice.get());
         return broken.get() > 0;
     }
--- a/review/standin-2/Case7.java
+++ b/review/standin-2/Case7.java
@@ -55,9 +55,7 @@
                     stage.upstreams.stream()
                             .flatMap(upstream -> upstream.runs.stream())
                             .anyMatch(
-                                    run ->
-                                            run.id().equals(id)
-                                                    && Arrays.equals(run.body(), body));
+                                    run -> run.id().equals(id) && Arrays.equals(run.body(), body));
             boolean signed =
                     answer.head() != null && answer.head().field("Response-Signature") != null;
             boolean own =
@@ -78,7 +76,8 @@
                     own ? ": " + answer.body() : "");
         }
         record.result(
-                "of %d uploads of %d bytes, %d were stored and answered, %d were ended with a 4xx of the system; maxBodyBytes is 67108864",
+                "of %d uploads of %d bytes, %d were stored and answered, %d were ended with a 4xx"
+                        + " of the system; maxBodyBytes is 67108864",
                 UPLOADS, body.length, answered, denied);
         return denied > DENIED_ALLOWED + (double) UPLOADS / REQUESTS_PER_DENIED;
     }
--- a/review/standin-2/Case8.java
+++ b/review/standin-2/Case8.java
@@ -101,8 +101,7 @@
                         Client.call(each.front(), "POST", "/order/1", orderId, 2_000, "order");
                 List<Upstream> ranAt = stage.ranAt(orderId);
                 String ranBy = ranAt.isEmpty() ? "nobody" : ranAt.getFirst().service;
-                boolean isWrong =
-                        read.status() == 404 || !ranAt.isEmpty() && !ranBy.equals(orders);
+                boolean isWrong = read.status() == 404 || !ranAt.isEmpty() && !ranBy.equals(orders);
                 record.add(
                         "%.3f s after the acknowledgement, %s: %s %s -> %d; %s -> %d, run by %s%s",
                         seconds,
@@ -123,7 +122,9 @@
             Thread.sleep(100);
         }
         record.result(
-                "storm %d: %d of %d pairs of requests, sent more than 2 s after the acknowledgement, were handled by an older version; the latest %.1f s after it",
+                "storm %d: %d of %d pairs of requests, sent more than 2 s after the"
+                    + " acknowledgement, were handled by an older version; the latest %.1f s after"
+                    + " it",
                 storm, wrong, sent, latestSeconds);
         return wrong;
     }
--- a/review/standin-2/Case9.java
+++ b/review/standin-2/Case9.java
@@ -74,8 +74,7 @@
             throws IOException, InterruptedException {
         if (isCold(upstream.id)) {
             long fromNanos = Math.max(coldFromNanos, System.nanoTime() - SECOND_NANOS);
-            long arrived =
-                    upstream.runs.stream().filter(run -> run.atNanos() >= fromNanos).count();
+            long arrived = upstream.runs.stream().filter(run -> run.atNanos() >= fromNanos).count();
             if (arrived > CRASH_PER_SECOND) {
                 crashed = true;
                 upstream.crash();
@@ -194,7 +193,8 @@
             for (Upstream.Request each : upstream.runs) {
                 boolean inside =
                         sentNanos.get(each.id()) >= fromNanos
-                                && each.atNanos() < Math.min(coldEndNanos, fromNanos + SECOND_NANOS);
+                                && each.atNanos()
+                                        < Math.min(coldEndNanos, fromNanos + SECOND_NANOS);
                 count += inside ? 1 : 0;
             }
             most = Math.max(most, count);
--- a/review/standin-2/StoreServer.java
+++ b/review/standin-2/StoreServer.java
@@ -174,7 +174,13 @@
         }
         return new Reply(
                 200,
-                "{\"items\":[" + items + "],\"more\":" + more + ",\"currentRev\":" + revision + "}");
+                "{\"items\":["
+                        + items
+                        + "],\"more\":"
+                        + more
+                        + ",\"currentRev\":"
+                        + revision
+                        + "}");
     }
 
     private synchronized Reply watch(String kind, Map<String, String> query)
--- a/review/standin-2/Upstream.java
+++ b/review/standin-2/Upstream.java
@@ -61,7 +61,9 @@
     }
 
     String entry(String state, long seq, double warmupLeftS) {
-        return "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"warmupLeftS\":%s,\"seq\":%d,\"born\":1700000000000}"
+        return ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
+                        + "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
+                        + "\"warmupLeftS\":%s,\"seq\":%d,\"born\":1700000000000}")
                 .formatted(service, port(), zone, slots, state, warmupLeftS, seq);
     }
 
@@ -99,7 +101,8 @@
             Http.Head head;
             while ((head = Http.readHead(in)) != null) {
                 if (head.target().equals("/health")) {
-                    String fields = "Instance-Id: " + id + "\r\n" + load() + healthFields.apply(this);
+                    String fields =
+                            "Instance-Id: " + id + "\r\n" + load() + healthFields.apply(this);
                     send(out, 200, fields, "");
                     continue;
                 }
@@ -152,7 +155,12 @@
     static void send(OutputStream out, int status, String fields, String body) throws IOException {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         String head =
-                "HTTP/1.1 " + status + " Answer\r\n" + fields + "Content-Length: " + bytes.length
+                "HTTP/1.1 "
+                        + status
+                        + " Answer\r\n"
+                        + fields
+                        + "Content-Length: "
+                        + bytes.length
                         + "\r\n\r\n";
         out.write(head.getBytes(StandardCharsets.ISO_8859_1));
         out.write(bytes);
