Break responses whose connection was reset while the request was written

Seen by callers: a backend server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection.

Cause, in two places. A socket reports a reset once, to the operation that comes first. While the upload is written that is often the write; the pump of the request ignores its failure once the head of the response is there, and the next read finds a regular end of the stream, which ends a response without a length. And the response was passed on without a length too: Undertow ends such a body with the connection if that is not kept, which is so while the upload is unread. The reset of the caller's connection then meets the same fate in the caller, whose write takes it.

Change: RequestConduit, below the writer of every connection that this process opens, tells ResponseConduit of a failed write, whichever operation it was; an end of the stream after that is an error. A body without a length is passed on in chunks to callers of HTTP/1.1, so that a part of it lacks the last chunk. A response with a length or in chunks is not affected by a failed write, and one whose server ends its stream and reads on stays whole.

The orders of a failed write and an end are played one by one in ResponseConduitTest.

Health checks send no body. A caller of HTTP/1.0 has no framing but the end of its connection; it gets a reset, as before.

--- a/server/src/main/java/org/snipeslip/server/http/LimitingConnector.java
+++ b/server/src/main/java/org/snipeslip/server/http/LimitingConnector.java
@@ -8,12 +8,14 @@
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
+import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * Opens the connection of an Undertow client with a {@link ResponseConduit} below its HTTP parser.
- * Undertow creates its connection inside the connect call, with no other place for a conduit.
- * Everything else is delegated to the real I/O thread; this one is never started.
+ * Opens the connection of an Undertow client with a {@link ResponseConduit} below its HTTP parser
+ * and a {@link RequestConduit} below its writer. Undertow creates its connection inside the connect
+ * call, with no other place for a conduit. Everything else is delegated to the real I/O thread;
+ * this one is never started.
  */
 final class LimitingConnector extends XnioIoThread {
     private final XnioIoThread ioThread;
@@ -32,7 +34,7 @@
         this.maxBytes = maxBytes;
     }
 
-    /** Returns the conduit of the connection, once it is open. */
+    /** Returns the conduit that reads from the connection, once it is open. */
     ResponseConduit responses() {
         return responses;
     }
@@ -49,6 +51,8 @@
                     responses =
                             new ResponseConduit(new ProgressLimit(source.getConduit(), maxBytes));
                     source.setConduit(responses);
+                    ConduitStreamSinkChannel sink = connection.getSinkChannel();
+                    sink.setConduit(new RequestConduit(sink.getConduit(), responses));
                     openListener.handleEvent(connection);
                 },
                 options);
--- a/server/src/main/java/org/snipeslip/server/http/ResponseConduit.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseConduit.java
@@ -29,6 +29,10 @@
     private ChunkDecoder chunks;
     private boolean inHead;
     private boolean malformed;
+
+    /** Why a write to the connection has failed, or null. */
+    private IOException writeFailure;
+
     private int headBytes;
     private int headLines;
 
@@ -62,6 +66,15 @@
         headLines = 0;
     }
 
+    /**
+     * A write to the connection has failed, so that its end may be that of a reset.
+     *
+     * @param cause failure of the write
+     */
+    void writeFailed(IOException cause) {
+        writeFailure = cause;
+    }
+
     /**
      * The parser has read the head of the final response.
      *
@@ -161,6 +174,9 @@
     private int readFromConnection(ByteBuffer target) throws IOException {
         int start = target.position();
         int count = super.read(target);
+        if (count < 0 && writeFailure != null) {
+            throw new IOException("the connection was lost while it was written", writeFailure);
+        }
         if (count <= 0 || !inHead) {
             return count;
         }
--- a/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseRelay.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.snipeslip.core.call.LoadReport;
@@ -38,6 +39,9 @@
         HopByHop.copyEndToEnd(from, to);
         to.remove(relay.dialect().load());
         relay.completeResponseHead();
+        if (mayBeChunked(to)) {
+            to.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
         if (ResponseValidator.isBodiless(response.getResponseCode())) {
             startBodiless(to);
             return;
@@ -51,6 +55,19 @@
         pump.start();
     }
 
+    /**
+     * Returns whether the response has a body without a length that the caller can read in chunks.
+     * Without chunks, Undertow ends such a body with its connection if that is not kept. A caller
+     * that is still sending its request might then miss the reset that tells a part of a body from
+     * a whole one.
+     */
+    private boolean mayBeChunked(HeaderMap to) {
+        return relay.exchange().isHttp11()
+                && !relay.exchange().getRequestMethod().equals(Methods.HEAD)
+                && !ResponseValidator.isBodiless(response.getResponseCode())
+                && !to.contains(Headers.CONTENT_LENGTH);
+    }
+
     /** Closes both connections, so that the caller detects a truncated response. */
     void abort() {
         if (backendTry.endAndClose()) {
--- a/server/src/test/java/org/snipeslip/server/http/CallerRequestIdTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/CallerRequestIdTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.undertow.util.HttpString;
 import java.io.IOException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,23 +20,7 @@
  */
 class CallerRequestIdTest {
     private static final HttpDialect CALLER_NAMED_DIALECT =
-            new HttpDialect(
-                    new HttpString("Call-Name"),
-                    new HttpString("Time-Left"),
-                    new HttpString("Load"),
-                    new HttpString("Limit"),
-                    new HttpString("Leaving"),
-                    new HttpString("Refused"),
-                    new HttpString("Meant-For"),
-                    new HttpString("Server-Name"),
-                    new HttpString("Key"),
-                    new HttpString("Owner"),
-                    value -> LoadReport.UNKNOWN,
-                    true,
-                    false,
-                    true,
-                    1_000,
-                    false);
+            HttpFixture.namedDialect(value -> LoadReport.UNKNOWN);
     private static final String GET =
             "GET /a?b HTTP/1.1\r\nHost: h\r\nCall-Name: c1\r\nTime-Left: 900\r\n\r\n";
 
--- a/server/src/test/java/org/snipeslip/server/http/FakeBackend.java
+++ b/server/src/test/java/org/snipeslip/server/http/FakeBackend.java
@@ -59,10 +59,15 @@
     }
 
     BackendServer server(int connectionLimit) {
+        return serverAt(listener.getLocalPort(), connectionLimit);
+    }
+
+    /** Returns a server that listens on a port of this machine. */
+    static BackendServer serverAt(int port, int connectionLimit) {
         return new BackendServer(
-                new BackendServerId("b" + listener.getLocalPort()),
+                new BackendServerId("b" + port),
                 "127.0.0.1",
-                listener.getLocalPort(),
+                port,
                 new FailureDomainId("d"),
                 4,
                 connectionLimit,
--- a/server/src/test/java/org/snipeslip/server/http/HttpFixture.java
+++ b/server/src/test/java/org/snipeslip/server/http/HttpFixture.java
@@ -3,9 +3,13 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.snipeslip.core.call.LoadReport;
+import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.server.operator.InstanceMetrics;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -69,6 +73,32 @@
         return RawSocket.connect(listener.address().getPort());
     }
 
+    /** Returns a dialect in which callers name their calls, and servers say who they are. */
+    static HttpDialect namedDialect(Function<String, LoadReport> loadReader) {
+        return new HttpDialect(
+                new HttpString("Call-Name"),
+                new HttpString("Time-Left"),
+                new HttpString("Load"),
+                new HttpString("Limit"),
+                new HttpString("Leaving"),
+                new HttpString("Refused"),
+                new HttpString("Meant-For"),
+                new HttpString("Server-Name"),
+                new HttpString("Key"),
+                new HttpString("Owner"),
+                loadReader,
+                true,
+                false,
+                true,
+                1_000,
+                false);
+    }
+
+    /** Returns this instance as another instance sees it. */
+    BackendServer self() {
+        return FakeBackend.serverAt(listener.address().getPort(), 100);
+    }
+
     /** Opens a new caller connection and sends a request on it. */
     RawSocket call(String request) throws IOException {
         return caller().write(request);
--- a/server/src/test/java/org/snipeslip/server/http/RawSocket.java
+++ b/server/src/test/java/org/snipeslip/server/http/RawSocket.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A socket that a test reads and writes as raw bytes, so that it can violate the protocol. */
 final class RawSocket implements AutoCloseable {
@@ -72,6 +74,11 @@
         return in;
     }
 
+    /** Ends the stream towards the peer, and leaves the other direction open. */
+    void endOutput() throws IOException {
+        socket.shutdownOutput();
+    }
+
     /** Closes the connection with a TCP reset. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
@@ -84,5 +91,25 @@
     }
 
     /** The text received before the peer closed, and whether it closed with a reset. */
-    record Rest(String text, boolean reset) {}
+    record Rest(String text, boolean reset) {
+        private static final Pattern LENGTH = Pattern.compile("(?i)\r\ncontent-length: *(\\d+)");
+        private static final Pattern CHUNKED =
+                Pattern.compile("(?i)\r\ntransfer-encoding: *chunked");
+
+        /** Returns whether the text is one response that its recipient takes for complete. */
+        boolean isCompleteResponse() {
+            int end = text.indexOf("\r\n\r\n");
+            if (end < 0) {
+                return false;
+            }
+            String head = text.substring(0, end);
+            if (CHUNKED.matcher(head).find()) {
+                return text.endsWith("\r\n0\r\n\r\n");
+            }
+            Matcher length = LENGTH.matcher(head);
+            return length.find()
+                    ? Integer.parseInt(length.group(1)) == text.length() - end - 4
+                    : !reset;
+        }
+    }
 }
--- a/server/src/test/java/org/snipeslip/server/http/ResponseConduitTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/ResponseConduitTest.java
@@ -12,10 +12,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
 /** Guards against a parser that takes bytes of a body, or of no response, for those of a head. */
 class ResponseConduitTest {
+    private static final String RESET = "Connection reset by peer";
+
     private final List<String> calls = new ArrayList<>();
     private final ByteBuffer received = ByteBuffer.allocate(4_096);
     private final ResponseConduit conduit =
@@ -58,6 +62,53 @@
         assertThat(calls).contains("resumeReads");
     }
 
+    /** The end of the stream after a failed write may be that of a reset, which the write took. */
+    @ParameterizedTest
+    @EnumSource(Write.class)
+    void endAfterFailedWriteIsNotTheEndOfAResponse(Write write) throws Exception {
+        RequestConduit requests = new RequestConduit(brokenConnection(), conduit);
+        receive("HTTP/1.1 200 OK\r\n\r\npart");
+        read();
+        read();
+        conduit.headReceived(false);
+        assertThatThrownBy(() -> write.operation.run(requests)).hasMessage(RESET);
+        assertThat(read()).isEqualTo("part");
+        assertThatThrownBy(this::read).isInstanceOf(IOException.class).hasRootCauseMessage(RESET);
+    }
+
+    /** Without a failed write, the end of the stream is the end of a response. */
+    @Test
+    void endWithoutFailedWriteIsTheEndOfAResponse() throws Exception {
+        receive("HTTP/1.1 200 OK\r\n\r\nall");
+        read();
+        read();
+        conduit.headReceived(false);
+        assertThat(read()).isEqualTo("all");
+        assertThat(conduit.read(ByteBuffer.allocate(1))).isEqualTo(-1);
+    }
+
+    /** The operations that write to a connection. */
+    private enum Write {
+        BUFFER(sink -> sink.write(ByteBuffer.allocate(1))),
+        BUFFERS(sink -> sink.write(new ByteBuffer[] {ByteBuffer.allocate(1)}, 0, 1)),
+        LAST_BUFFER(sink -> sink.writeFinal(ByteBuffer.allocate(1))),
+        LAST_BUFFERS(sink -> sink.writeFinal(new ByteBuffer[] {ByteBuffer.allocate(1)}, 0, 1)),
+        FILE(sink -> sink.transferFrom(null, 0, 1)),
+        CHANNEL(sink -> sink.transferFrom(null, 1, ByteBuffer.allocate(1))),
+        FLUSH(StreamSinkConduit::flush);
+
+        private final Operation operation;
+
+        Write(Operation operation) {
+            this.operation = operation;
+        }
+
+        /** One operation on a connection. */
+        private interface Operation {
+            void run(StreamSinkConduit sink) throws IOException;
+        }
+    }
+
     private void receive(String bytes) {
         received.put(bytes.getBytes(StandardCharsets.ISO_8859_1)).flip();
         conduit.requestSent();
@@ -79,9 +130,19 @@
                             if (!method.getName().equals("read")) {
                                 return null;
                             }
-                            int count = received.remaining();
+                            int count = received.hasRemaining() ? received.remaining() : -1;
                             ((ByteBuffer) arguments[0]).put(received);
                             return count;
                         });
     }
+
+    private static StreamSinkConduit brokenConnection() {
+        return (StreamSinkConduit)
+                Proxy.newProxyInstance(
+                        StreamSinkConduit.class.getClassLoader(),
+                        new Class<?>[] {StreamSinkConduit.class},
+                        (proxy, method, arguments) -> {
+                            throw new IOException(RESET);
+                        });
+    }
 }
