Take no health answer and no answer of the store without a status

Looked for: an answer with the status 000 that is taken for an answer.

Callers are not affected: ResponseStatusTest.callerGetsNoResponseWithoutAStatus passes on the code before (502), and so do calls that another instance passes on. Health answers were: of 25 status lines, 000, 001, 099, 199, 600 and 999 passed for an answer, from which the load of the server and its word that it leaves were read. The same six of the store reached its decoder, which rejects unknown statuses; as the code reads, their connection was kept.

Cause: BackendTry checks each head with ResponseValidator; SimpleHttpExchange, which reads health answers and those of the store, of other instances and of the command line, left that to whoever uses the answer.

Change: SimpleHttpExchange checks the head alike, so that a status outside of 200 to 599, or an ambiguous framing, ends the exchange as failed and closes its connection. A test of the links still counts such a server as reached, as it did before.

Evidence: ResponseStatusTest.readerTakesNoResponseWithoutAStatus, 12 of 75 failed before, none now. linkTestReachesServerWithoutAStatus passes before and now.

--- a/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
@@ -167,6 +167,8 @@
 
         @Override
         public void failed(IOException e) {
+            // What is no response still shows that the server was reached.
+            responded |= e instanceof MalformedResponseException;
             fail(ServerPresence.UNKNOWN);
         }
 
--- a/server/src/main/java/org/snipeslip/server/http/SimpleHttpExchange.java
+++ b/server/src/main/java/org/snipeslip/server/http/SimpleHttpExchange.java
@@ -80,6 +80,7 @@
     private void readResponse(ClientExchange exchange) {
         try {
             responses.headReceived(ResponseValidator.hasChunkedBody(exchange));
+            requireWellFramed(exchange.getResponse());
         } catch (IOException e) {
             listener.failed(e);
             return;
@@ -92,6 +93,14 @@
         body.start(exchange.getResponseChannel());
     }
 
+    private static void requireWellFramed(ClientResponse response) throws IOException {
+        if (!ResponseValidator.isWellFramed(response)) {
+            throw new MalformedResponseException(
+                    "the status %d or the framing of a response is not valid"
+                            .formatted(response.getResponseCode()));
+        }
+    }
+
     /** Reports connection failures to the listener. */
     private abstract class Callback implements ClientCallback<ClientExchange> {
         @Override
--- a/server/src/test/java/org/snipeslip/server/http/ResponseReader.java
+++ b/server/src/test/java/org/snipeslip/server/http/ResponseReader.java
@@ -7,7 +7,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+import org.snipeslip.core.config.BackendServer;
 import org.snipeslip.core.id.ServiceId;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.Event;
@@ -49,28 +53,24 @@
     HEALTH_CHECK {
         @Override
         Outcome read(String request, FakeServer script) throws Exception {
-            XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
-            DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
-            try (FakeBackend server = new FakeBackend();
-                    BackendConnectionPool connections = new BackendConnectionPool(buffers, 1)) {
-                CompletableFuture<Outcome> outcome = new CompletableFuture<>();
-                new ProbeSender(
-                                connections,
-                                worker.getIoThread(),
-                                buffers,
-                                HttpFixture.namedDialect(LoadHeader::parse),
-                                event ->
-                                        outcome.complete(
-                                                event instanceof Event.ProbeAnswered
-                                                        ? Outcome.COMPLETE
-                                                        : Outcome.FAILED))
-                        .send(
-                                new Action.SendProbe(
-                                        new ServiceId("s"), server.server(4), "/health"));
-                return await(outcome, server, script);
-            } finally {
-                worker.shutdownNow();
-            }
+            return probe(
+                    (sender, target) ->
+                            sender.send(
+                                    new Action.SendProbe(new ServiceId("s"), target, "/health")),
+                    Event.ProbeAnswered.class::isInstance,
+                    script);
+        }
+    },
+
+    /** A response to a test whether servers are reached at all, which any response passes. */
+    LINK_TEST {
+        @Override
+        Outcome read(String request, FakeServer script) throws Exception {
+            return probe(
+                    (sender, target) ->
+                            sender.test(new Action.TestLink(new ServiceId("s"), target, "/health")),
+                    event -> event instanceof Event.LinkTested tested && tested.reached(),
+                    script);
         }
     },
 
@@ -145,6 +145,34 @@
         }
     }
 
+    private static Outcome probe(
+            BiConsumer<ProbeSender, BackendServer> send,
+            Predicate<Event> isAnswer,
+            FakeServer script)
+            throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
+        DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
+        try (FakeBackend server = new FakeBackend();
+                BackendConnectionPool connections = new BackendConnectionPool(buffers, 1)) {
+            CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+            ProbeSender sender =
+                    new ProbeSender(
+                            connections,
+                            worker.getIoThread(),
+                            buffers,
+                            HttpFixture.namedDialect(LoadHeader::parse),
+                            event ->
+                                    outcome.complete(
+                                            isAnswer.test(event)
+                                                    ? Outcome.COMPLETE
+                                                    : Outcome.FAILED));
+            send.accept(sender, server.server(4));
+            return await(outcome, server, script);
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
     private static Outcome await(
             CompletableFuture<Outcome> outcome, FakeBackend server, FakeServer script)
             throws Exception {
@@ -154,6 +182,11 @@
         }
     }
 
+    /** The places that use what a response says. */
+    static Stream<ResponseReader> ofContents() {
+        return Stream.of(CALL, PASSED_ON_CALL, HEALTH_CHECK, STORE);
+    }
+
     /** What became of a response. */
     enum Outcome {
         /** It was taken for a whole response. */
