Refuse responses with a line of the head that begins with a blank

Looked for: an answer in whose head the name of a field holds a blank or a control byte, and that is taken for an answer.

Seen by callers: of 44 malformed lines, five came through, all of one kind: a line that begins with a blank or a tab after a regular field. "X-Before: 1" and " X-Trouble: 1" reached the caller as one field. " Content-Length: 2" was read as text too, so that the body had no length any more and ended with the connection. Calls that other instances pass on, health answers and answers of the store had the same.

Cause: Undertow's client still joins such lines (obsolete line folding).

Change: ResponseConduit, which passes each head on line by line on all connections that this process opens, fails the response at such a line. RFC 9112 section 5.2 has a proxy answer 502 or repair the line; another recipient may read a repaired line otherwise. The caller gets 502, the outcome is unknown, and the connection is closed. Requests are refused alike already (LineFoldingDetector).

--- a/server/src/main/java/org/snipeslip/server/http/ResponseConduit.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseConduit.java
@@ -11,8 +11,9 @@
 
 /**
  * Checks the bytes of responses below the parser of Undertow's client. Its chunk reader accepts
- * malformed chunks and may find the end of a body in them, and it keeps heads of any length. All
- * methods run on the I/O thread of the connection.
+ * malformed chunks and may find the end of a body in them, it keeps heads of any length, and it
+ * appends a line that begins with a blank to the value before it, so that the field in that line
+ * disappears from the head. All methods run on the I/O thread of the connection.
  *
  * <p>A head is passed on line by line. The parser therefore never reads bytes of the body together
  * with the head, and every byte of a chunked body passes through {@link ChunkDecoder} first.
@@ -39,6 +40,9 @@
     /** Whether the line that is being read has no bytes but carriage returns yet. */
     private boolean lineEmpty = true;
 
+    /** Whether a line of the head begins with a blank. */
+    private boolean folded;
+
     /** Whether the last byte of a head that was passed on ended a line. */
     private boolean lineEnded;
 
@@ -60,6 +64,7 @@
         limit.progress();
         inHead = true;
         lineEmpty = true;
+        folded = false;
         chunks = null;
         malformed = false;
         headBytes = 0;
@@ -148,6 +153,10 @@
     }
 
     private void checkHead(int count) throws IOException {
+        if (folded) {
+            malformed = true;
+            throw new IOException("a line of the head of a response begins with a blank");
+        }
         headBytes += count;
         headLines += lineEnded ? 1 : 0;
         if (headBytes > MAX_HEAD_BYTES || headLines > MAX_HEAD_LINES) {
@@ -211,6 +220,7 @@
                 lineEmpty = true;
                 return i + 1;
             }
+            folded |= lineEmpty && (b == ' ' || b == '\t');
             lineEmpty &= b == '\r';
         }
         lineEnded = false;
--- a/server/src/test/java/org/snipeslip/server/http/ScriptedEngine.java
+++ b/server/src/test/java/org/snipeslip/server/http/ScriptedEngine.java
@@ -1,5 +1,6 @@
 package org.snipeslip.server.http;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -85,19 +86,27 @@
 
     /** Waits for the next event of a type; discards other events. */
     <T extends Event> T await(Class<T> type) throws InterruptedException {
-        Event event;
-        do {
-            event = events.poll(RawSocket.TEST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        return type.cast(await(new Class<?>[] {type}));
+    }
+
+    /** Waits for the next event of one of several types; discards other events. */
+    Event await(Class<?>... types) throws InterruptedException {
+        while (true) {
+            Event event = events.poll(RawSocket.TEST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             if (event == null) {
                 throw new AssertionError(
-                        "no event "
-                                + type.getSimpleName()
+                        "no event of "
+                                + Arrays.toString(types)
                                 + " within "
                                 + RawSocket.TEST_TIMEOUT_MILLIS
                                 + " ms");
             }
-        } while (!type.isInstance(event));
-        return type.cast(event);
+            for (Class<?> type : types) {
+                if (type.isInstance(event)) {
+                    return event;
+                }
+            }
+        }
     }
 
     List<Action> relayFirstTry(Event event) {
