--- a/server/src/test/java/org/snipeslip/server/http/RawSocket.java
+++ b/server/src/test/java/org/snipeslip/server/http/RawSocket.java
@@ -58,9 +58,10 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         boolean reset = false;
         try {
-            int b;
-            while ((b = in.read()) >= 0) {
-                bytes.write(b);
+            byte[] part = new byte[8 * 1024];
+            int count;
+            while ((count = in.read(part)) >= 0) {
+                bytes.write(part, 0, count);
             }
         } catch (SocketException e) {
             reset = true;
