Count a server with a folded line in its head as reached

Cause: refuses heads with a line that begins with a blank, and a test of the links then counted the server as not reached, because only an exception of the type MalformedResponseException tells otherwise. Before, as the code reads, any answer passed that test. Servers that are not reached are evidence that this instance is cut off from all of them.

Change: ResponseConduit throws that type for such a line.

--- a/server/src/main/java/org/snipeslip/server/http/ResponseConduit.java
+++ b/server/src/main/java/org/snipeslip/server/http/ResponseConduit.java
@@ -155,7 +155,8 @@
     private void checkHead(int count) throws IOException {
         if (folded) {
             malformed = true;
-            throw new IOException("a line of the head of a response begins with a blank");
+            throw new MalformedResponseException(
+                    "a line of the head of a response begins with a blank");
         }
         headBytes += count;
         headLines += lineEnded ? 1 : 0;
--- a/server/src/test/java/org/snipeslip/server/http/MalformedHeadTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/MalformedHeadTest.java
@@ -142,6 +142,14 @@
         assertThat(reader.read("", respondWith(line))).isEqualTo(ResponseReader.Outcome.FAILED);
     }
 
+    /** A server whose head has a folded line is reached nevertheless. */
+    @ParameterizedTest
+    @ValueSource(strings = {" X-Trouble: 1", "X-Trouble: a\r\n b"})
+    void linkTestReachesServerWithAFoldedLine(String line) throws Exception {
+        assertThat(ResponseReader.LINK_TEST.read("", respondWith(line)))
+                .isEqualTo(ResponseReader.Outcome.COMPLETE);
+    }
+
     /** Lines that the grammar allows reach the caller. */
     @ParameterizedTest
     @MethodSource("validLines")
