Test that HTTP/1.0 callers get no chunks and failed connections are closed

Both were promised and not played: a response without a length goes out in chunks to callers of HTTP/1.1 only, and a health check or a store call whose response is refused closes its connection. No change of the product; both tests pass on the commit before.

--- a/server/src/test/java/org/snipeslip/server/http/ResponseReader.java
+++ b/server/src/test/java/org/snipeslip/server/http/ResponseReader.java
@@ -178,7 +178,12 @@
             throws Exception {
         try (RawSocket connection = server.acceptRequest()) {
             script.respond(connection, server.server(4).id().value());
-            return outcome.get(30, TimeUnit.SECONDS);
+            Outcome result = outcome.get(30, TimeUnit.SECONDS);
+            if (result == Outcome.FAILED) {
+                // Returns only when the connection has been closed.
+                connection.readRest();
+            }
+            return result;
         }
     }
 
--- a/server/src/test/java/org/snipeslip/server/http/ResponseRelayTest.java
+++ b/server/src/test/java/org/snipeslip/server/http/ResponseRelayTest.java
@@ -57,6 +57,26 @@
         }
     }
 
+    /** Guards against chunks for a caller that cannot read them; a break is a reset there. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void callerOfHttp10GetsNoChunks(boolean broken) throws Exception {
+        try (RawSocket caller = fixture.call("GET /a HTTP/1.0\r\nHost: h\r\n\r\n")) {
+            RawSocket backend = fixture.backend.acceptRequest();
+            backend.write("HTTP/1.1 200 OK\r\n\r\nabc");
+            fixture.engine.await(Event.TryAnswered.class);
+            if (broken) {
+                backend.reset();
+            } else {
+                backend.close();
+            }
+            RawSocket.Rest rest = caller.readRest();
+            assertThat(rest.text()).doesNotContain("Transfer-Encoding", "0\r\n\r\n");
+            assertThat(rest.isCompleteResponse()).isEqualTo(!broken);
+            assertThat(rest.text().endsWith("\r\n\r\nabc") || broken).isTrue();
+        }
+    }
+
     /** Guards against a head that ends early and reaches the caller as a complete response. */
     @ParameterizedTest
     @CsvSource({
