Give a joining instance no part in shared limits until it is counted

Cause: a limit on a sum over all instances is divided by the number of instances that each one has read in the list, which it reads 1.2 s and 4 s after its start and then each 25 s. An instance that starts took its part at once, while the old ones divided the whole sum among themselves. The capacity of the retry budget and the parts of named rate limits were divided by the same number. Besides, the part of a cold server's limit depended on an instance's position among all names, so one more name moved the parts of all: instances with different lists could hold one part twice.

Ruled out: the window (without added machines the server gets exactly 11).

Change: an instance that joins tells each one that registered before it (POST /instances) and has no part until all have confirmed and one window has passed, or until each has read the list again. One that was listed when its process started has its part after one window and waits for none, because others may be gone for good. Before its first list an instance has no part. Parts come from rendezvous hashing, by which none grows when an instance is added, so the order in which instances learn of a new one does not matter. The list is read before the instance registers, as it shows whether an earlier process has. The index in InstanceShare is gone; ColdRateTest's property of the sum moves to InstanceShareTest. A log line and two gauges show number and part.

--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -123,7 +123,7 @@
         this.location = new InstanceLocation(region, failureDomain);
         this.random = new SplittableRandom(seed);
         this.budget = new ProbeBudget(settings.probeSettings());
-        this.instanceShare = new InstanceShare(settings.instances(), 0);
+        this.instanceShare = new InstanceShare(settings.instances(), true);
         this.detour = new Detour(region, openCalls, new SplittableRandom(seed + 2));
         SplitChooser splitChooser = new SplitChooser(new SplittableRandom(seed + 1));
         CallSubmission submission =
--- a/core/src/main/java/org/snipeslip/core/call/InstanceShare.java
+++ b/core/src/main/java/org/snipeslip/core/call/InstanceShare.java
@@ -6,11 +6,11 @@
  * The part of this instance in limits that apply to the sum over all instances.
  *
  * @param instances number of instances that share the limits, at least 1
- * @param ownIndex position of this instance among them, from 0
  * @param own this instance
  * @param others the other instances, as far as they are known
+ * @param counted whether the others leave room for this instance; until then it has no part
  */
-public record InstanceShare(int instances, int ownIndex, Member own, List<Member> others) {
+public record InstanceShare(int instances, Member own, List<Member> others, boolean counted) {
     /** Calls to a near server are faster and not billed, so most are left to near instances. */
     private static final int NEAR_WEIGHT = 4;
 
@@ -26,17 +26,39 @@
      * Creates the share of an instance that knows no other one by name.
      *
      * @param instances number of instances that share the limits, at least 1
-     * @param ownIndex position of this instance among them, from 0
+     * @param counted whether the others leave room for this instance
      */
-    public InstanceShare(int instances, int ownIndex) {
-        this(instances, ownIndex, new Member("", ""), List.of());
+    public InstanceShare(int instances, boolean counted) {
+        this(instances, new Member("", ""), List.of(), counted);
+    }
+
+    /**
+     * Returns the part of this instance in a quantity that can be divided exactly.
+     *
+     * @param quantity the sum over all instances
+     * @return the part, at least 0
+     */
+    public double evenPart(double quantity) {
+        return counted ? quantity / instances : 0;
+    }
+
+    /**
+     * Returns the part of this instance in a number of calls that is divided equally.
+     *
+     * @param calls the sum over all instances
+     * @param key what the calls belong to
+     * @return the part, at least 0
+     */
+    public int ownPart(int calls, String key) {
+        return counted ? equalPart(calls, key, own) : 0;
     }
 
     /**
      * Divides a number of calls to a backend server among the instances; those of its region get
      * several times as many as others. If there are too few calls, some instances get none; which
      * ones differs between servers (rendezvous hashing). The parts of all instances add up to the
-     * number. An instance that others do not know yet adds its own part and at most one more call.
+     * number. An instance that some others do not count yet adds its own part and at most one more
+     * call.
      *
      * @param calls the sum over all instances
      * @param server name of the server
@@ -44,6 +66,9 @@
      * @return the part of this instance, at least 0
      */
     public int of(int calls, String server, String region) {
+        if (!counted) {
+            return 0;
+        }
         // Instances that are not known by name might be near and come before this one.
         int unknown = Math.max(0, instances - 1 - others.size());
         boolean isNear = own.isIn(region);
@@ -62,7 +87,7 @@
     /**
      * Divides a number of calls equally among the instances; if there are too few calls, rendezvous
      * hashing selects those that get one. The parts of all instances add up to the number if all
-     * know the same instances.
+     * know the same instances. No part grows if an instance is added.
      *
      * @param calls the sum over all instances
      * @param key what the calls belong to
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -88,7 +88,7 @@
         this.policy = SelectionPolicy.of(settings.policy());
         this.adaptive = settings.policy().isAdaptive();
         this.probesEachCall = settings.policy() == PolicyName.PROBED;
-        this.instanceShare = new InstanceShare(settings.instances(), 0);
+        this.instanceShare = new InstanceShare(settings.instances(), true);
     }
 
     /** Updates the number of instances and all limits that depend on it. */
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -85,12 +85,7 @@
         int instances = share.instances();
         limit.configure(server.slots(), server.connectionLimit(), instances);
         connectionShare = ConcurrencyLimit.connectionShare(server.connectionLimit(), instances);
-        coldCallShare =
-                ColdRate.share(
-                        server.warmUp().callsPerSecond(),
-                        instances,
-                        share.ownIndex(),
-                        server.id().value().hashCode());
+        coldCallShare = share.ownPart(server.warmUp().callsPerSecond(), server.id().value());
         allowance.setShare(calls -> share.of(calls, server.id().value(), region.value()));
     }
 
--- a/core/src/main/java/org/snipeslip/core/call/ShardRetries.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardRetries.java
@@ -19,7 +19,7 @@
     /** Updates this instance's share of the retries and hedges that may be accumulated. */
     void setInstanceShare(InstanceShare share) {
         if (settings.retryBurst() > 0) {
-            budget.setCapacity((double) settings.retryBurst() / share.instances());
+            budget.setCapacity(share.evenPart(settings.retryBurst()));
         }
     }
 
--- a/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/DiscoveryEngine.java
@@ -65,12 +65,22 @@
     /**
      * Returns the share of this instance in the limits that apply to all instances together.
      *
-     * @return number of instances and position of this one among them
+     * @return the instances, and whether this one has a part
      */
     public synchronized InstanceShare share() {
         return registry.share();
     }
 
+    /**
+     * Counts another instance that has told of itself.
+     *
+     * @param instance the other instance
+     * @return false if it cannot be counted
+     */
+    public synchronized boolean instanceAnnounced(DiscoveryRecord.Instance instance) {
+        return registry.announced(instance);
+    }
+
     /**
      * Returns what the list of instances shows about this one.
      *
@@ -172,6 +182,8 @@
         switch (event) {
             case Event.Started started -> start(nowNanos, outbox);
             case Event.DiscoveryResponded answered -> handleResponse(answered, nowNanos, outbox);
+            case Event.AnnouncementEnded ended ->
+                    registry.announcementEnded(ended.sent(), ended.delivered(), nowNanos);
             case Event.ClockJumped jumped -> proofs.clockJumped();
             case Event.TimerFired fired when fired.timer().equals(TIMER) ->
                     handleTimer(nowNanos, outbox);
@@ -327,6 +339,7 @@
             cache.dueRequests(nowNanos).forEach(request -> send(request, nowNanos, outbox));
         }
         send(registry.dueRequest(nowNanos), nowNanos, outbox);
+        registry.announce(nowNanos, outbox);
         if (mayAskForProof()) {
             StoreRevision known = caches.get(DiscoveryKind.CONFIG).revision();
             send(proofs.dueRequest(known, nowNanos), nowNanos, outbox);
--- a/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
@@ -10,13 +10,15 @@
 import org.snipeslip.core.call.InstanceShare;
 import org.snipeslip.core.id.InstanceId;
 import org.snipeslip.core.id.RegionId;
+import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.Outbox;
 import org.snipeslip.core.quota.QuotaStanding;
 import org.snipeslip.core.suspect.SuspectPeer;
 
 /**
- * Registers this instance in the store and reads the list of all instances. Entries of stopped
- * instances remain in the store, so their number may be too high, which errs on the safe side:
- * shares of limits become smaller.
+ * Registers this instance in the store, reads the list of all instances and counts those that tell
+ * of themselves in between. Entries of stopped instances remain in the store, so their number may
+ * be too high, which errs on the safe side: shares of limits become smaller.
  */
 final class InstanceRegistry {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -41,8 +43,16 @@
                             instance -> mix(instance.instance().value().hashCode()))
                     .thenComparing(instance -> instance.instance().value());
 
+    /** Announced instances that are not listed; more of them are not counted. */
+    private static final int MAX_ANNOUNCED = 2_048;
+
     private final DiscoveryEngineSettings settings;
+    private final JoinAnnouncer announcer;
     private final Map<String, DiscoveryRecord.Instance> instances = new TreeMap<>();
+
+    /** Instances that have told of themselves and are missing from the last list. */
+    private final Map<String, DiscoveryRecord.Instance> announced = new TreeMap<>();
+
     private final List<DiscoveryObject> listed = new ArrayList<>();
     private boolean registered;
     private int earlyReads;
@@ -52,6 +62,10 @@
     private InstanceShare share;
     private boolean firstListRead;
     private boolean listedAtStart;
+
+    /** Whether instances that started together with this one are in the list. */
+    private boolean settled;
+
     private QuotaStanding standing = QuotaStanding.UNKNOWN;
 
     /** The latest era of the store; what was written in an earlier one may be lost. */
@@ -62,7 +76,8 @@
 
     InstanceRegistry(DiscoveryEngineSettings settings) {
         this.settings = settings;
-        this.share = new InstanceShare(settings.assumedInstances(), 0);
+        this.announcer = new JoinAnnouncer(self(), settings.watch().instancesRefreshMillis());
+        this.share = new InstanceShare(settings.assumedInstances(), false);
     }
 
     InstanceShare share() {
@@ -74,7 +89,36 @@
     }
 
     long dueNanos() {
-        return pending == null ? dueNanos : NEVER;
+        return Math.min(pending == null ? dueNanos : NEVER, announcer.dueNanos());
+    }
+
+    /**
+     * Counts an instance that has told of itself.
+     *
+     * @return false if it cannot be counted
+     */
+    boolean announced(DiscoveryRecord.Instance instance) {
+        String name = instance.instance().value();
+        if (!instances.containsKey(name)) {
+            if (announced.size() >= MAX_ANNOUNCED && !announced.containsKey(name)) {
+                return false;
+            }
+            announced.put(name, instance);
+            updateShare();
+        }
+        return true;
+    }
+
+    /** Handles the end of an announcement of this instance. */
+    void announcementEnded(Action.AnnounceInstance sent, boolean delivered, long nowNanos) {
+        announcer.ended(sent, delivered, nowNanos);
+    }
+
+    /** Sends the announcements of this instance that are due. */
+    void announce(long nowNanos, Outbox outbox) {
+        if (announcer.sendDue(nowNanos, outbox)) {
+            updateShare();
+        }
     }
 
     /** Returns whether the last list has other instances. */
@@ -113,12 +157,11 @@
             return null;
         }
         dueNanos = NEVER;
-        if (!registered) {
+        // The list comes first, because it shows whether an earlier process has registered.
+        if (firstListRead && !registered) {
             return markPending(
                     new DiscoveryRequest.Register(
-                            settings.instance().value(),
-                            ownRegion(),
-                            settings.peers() == null ? "" : settings.peers().address()));
+                            settings.instance().value(), ownRegion(), ownAddress()));
         }
         String after = listed.isEmpty() ? "" : listed.getLast().name();
         return markPending(new DiscoveryRequest.ListPage(DiscoveryKind.INSTANCES, after, true));
@@ -193,8 +236,7 @@
     }
 
     private DiscoveryRecord.Instance self() {
-        return new DiscoveryRecord.Instance(
-                settings.instance(), ownRegion(), settings.peers().address());
+        return new DiscoveryRecord.Instance(settings.instance(), ownRegion(), ownAddress());
     }
 
     /** Returns the other instances that have an address and a region. */
@@ -225,27 +267,50 @@
                         new DiscoveryRecord.Instance(new InstanceId(object.name()), "", ""));
             }
         }
+        announced.keySet().removeAll(instances.keySet());
+        settled = earlyReads >= EARLY_READS_MILLIS.size();
+        updateStanding();
+        if (!announcer.hasBegun()) {
+            beginAnnouncing(nowNanos);
+        }
         listed.clear();
+        updateShare();
+    }
+
+    private void beginAnnouncing(long nowNanos) {
         String self = settings.instance().value();
-        int before = (int) instances.keySet().stream().filter(n -> n.compareTo(self) < 0).count();
-        int count = instances.size() + (instances.containsKey(self) ? 0 : 1);
-        // Instances that start together are missing from the first lists.
-        boolean settled = earlyReads >= EARLY_READS_MILLIS.size();
+        for (DiscoveryObject own : listed) {
+            if (own.name().equals(self)) {
+                List<DiscoveryRecord.Instance> earlier =
+                        listed.stream()
+                                .filter(each -> own.revision().isAfter(each.revision()))
+                                .map(each -> instances.get(each.name()))
+                                .toList();
+                announcer.begin(earlier, listedAtStart, nowNanos);
+                return;
+            }
+        }
+    }
+
+    private void updateShare() {
+        String self = settings.instance().value();
+        Map<String, DiscoveryRecord.Instance> known = new TreeMap<>(announced);
+        known.putAll(instances);
         List<InstanceShare.Member> others =
-                instances.values().stream()
+                known.values().stream()
                         .filter(instance -> !instance.instance().value().equals(self))
                         .map(InstanceRegistry::toMember)
                         .toList();
-        updateStanding(settled);
+        int count = others.size() + 1;
         share =
                 new InstanceShare(
                         settled ? count : Math.max(count, settings.assumedInstances()),
-                        before,
                         new InstanceShare.Member(self, ownRegion()),
-                        others);
+                        others,
+                        announcer.isCounted());
     }
 
-    private void updateStanding(boolean settled) {
+    private void updateStanding() {
         if (!firstListRead) {
             firstListRead = true;
             listedAtStart = instances.containsKey(settings.instance().value());
@@ -260,6 +325,10 @@
         return page.objects().stream().anyMatch(object -> object.name().equals(self));
     }
 
+    private String ownAddress() {
+        return settings.peers() == null ? "" : settings.peers().address();
+    }
+
     private String ownRegion() {
         return settings.peers() == null ? "" : settings.peers().region().value();
     }
@@ -275,6 +344,10 @@
                 return readNanos;
             }
         }
+        if (!announcer.hasBegun()) {
+            // An outdated list has not shown this instance.
+            return nowNanos + REGISTER_RETRY_NANOS;
+        }
         return nowNanos + settings.watch().instancesRefreshMillis() * NANOS_PER_MILLI;
     }
 
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -7,6 +7,7 @@
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.detour.LinkChange;
 import org.snipeslip.core.discovery.ConfigOrigin;
+import org.snipeslip.core.discovery.DiscoveryRecord;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.id.BackendServerId;
 import org.snipeslip.core.id.InstanceId;
@@ -354,4 +355,23 @@
      * @param ask the question
      */
     record AskQuota(String instance, String address, QuotaAsk ask) implements Action {}
+
+    /**
+     * Tells another instance that this one has started; the end is reported as {@link
+     * Event.AnnouncementEnded}.
+     *
+     * @param recipient name of the other instance
+     * @param address its address, IP:PORT
+     * @param announced this instance
+     */
+    record AnnounceInstance(String recipient, String address, DiscoveryRecord.Instance announced)
+            implements Action {}
+
+    /**
+     * Reports a change of the part that this instance has in shared limits, for the log.
+     *
+     * @param instances number of instances that share them
+     * @param counted whether this instance has a part
+     */
+    record InstanceShareChanged(int instances, boolean counted) implements Action {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -14,6 +14,7 @@
 import org.snipeslip.core.discovery.DiscoveryEngine;
 import org.snipeslip.core.discovery.DiscoveryEngineSettings;
 import org.snipeslip.core.discovery.DiscoveryKind;
+import org.snipeslip.core.discovery.DiscoveryRecord;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.discovery.StoreRevision;
@@ -198,6 +199,20 @@
         return quotas == null ? QuotaCounters.NONE : quotas.counters(nowNanos);
     }
 
+    /**
+     * Counts another instance that has told of itself in the limits that all instances share.
+     *
+     * @param other the other instance
+     * @param nowNanos the current time
+     * @param outbox receives the actions to execute
+     * @return false if it cannot be counted
+     */
+    public boolean instanceAnnounced(DiscoveryRecord.Instance other, long nowNanos, Outbox outbox) {
+        boolean counted = discovery.instanceAnnounced(other);
+        updateShare(nowNanos, outbox);
+        return counted;
+    }
+
     /**
      * Returns what another instance has to know about suspected requests.
      *
@@ -267,6 +282,15 @@
         return discovery.otherInstances().size();
     }
 
+    /**
+     * Returns the part of this instance in the limits that all instances share.
+     *
+     * @return the part
+     */
+    public InstanceShare share() {
+        return discovery.share();
+    }
+
     /**
      * Returns how many requests are or were under suspicion.
      *
@@ -330,12 +354,20 @@
                     updateShare(nowNanos, outbox);
                 }
             }
+            case Event.AnnouncementEnded e -> {
+                discovery.handle(e, nowNanos, outbox);
+                updateShare(nowNanos, outbox);
+            }
             case Event.RolloutReportEnded e ->
                     rollouts.reportEnded(e.sent(), e.answer(), nowNanos, outbox);
             case Event.TimerFired e when e.timer().owner() == EngineName.ROLLOUTS ->
                     rollouts.timerFired(nowNanos, outbox);
-            case Event.TimerFired e when e.timer().owner() == EngineName.CONTROL ->
-                    discovery.handle(e, nowNanos, outbox);
+            case Event.TimerFired e when e.timer().owner() == EngineName.CONTROL -> {
+                discovery.handle(e, nowNanos, outbox);
+                if (!discovery.share().equals(share)) {
+                    updateShare(nowNanos, outbox);
+                }
+            }
             case Event.TimerFired e when e.timer().owner() == EngineName.INSTANCE -> {
                 boolean wasFinishing = stop.isFinishing();
                 stop.timerFired(e.timer());
@@ -374,6 +406,7 @@
         if (!next.equals(share)) {
             share = next;
             calls.setInstanceShare(next);
+            outbox.add(new Action.InstanceShareChanged(next.instances(), next.counted()));
         }
         List<SuspectPeer> others = discovery.otherInstances();
         sharing.setPeers(others);
--- a/core/src/main/java/org/snipeslip/core/instance/Event.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Event.java
@@ -209,4 +209,12 @@
      * @param answer the answer, or null if there was none in time
      */
     record QuotaAnswered(Action.AskQuota asked, QuotaAnswer answer) implements Event {}
+
+    /**
+     * An announcement of this instance was confirmed, or could not be delivered.
+     *
+     * @param sent the announcement
+     * @param delivered whether the other instance counts this one from now on
+     */
+    record AnnouncementEnded(Action.AnnounceInstance sent, boolean delivered) implements Event {}
 }
--- a/core/src/main/java/org/snipeslip/core/instance/Instance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Instance.java
@@ -170,6 +170,9 @@
             case Event.QuotaAnswered e -> {
                 // Occurs only in DiscoveryInstance.
             }
+            case Event.AnnouncementEnded e -> {
+                // Occurs only in DiscoveryInstance.
+            }
             case Event.StopRequested e -> {
                 stop.request(outbox);
                 control.handle(e, nowNanos, outbox);
--- a/core/src/main/java/org/snipeslip/core/quota/QuotaFleet.java
+++ b/core/src/main/java/org/snipeslip/core/quota/QuotaFleet.java
@@ -28,7 +28,7 @@
     private final Map<RegionId, List<SuspectPeer>> regions = new LinkedHashMap<>();
     private final Map<OrganisationId, Map<String, Integer>> parts = new HashMap<>();
     private final Set<String> announced = new TreeSet<>();
-    private InstanceShare share = new InstanceShare(1, 0);
+    private InstanceShare share = new InstanceShare(1, true);
 
     QuotaFleet(InstanceId instance, RegionId region) {
         self = new SuspectPeer(instance.value(), region, "");
@@ -95,7 +95,7 @@
     private InstanceShare counting() {
         int listed = Math.max(share.instances(), share.others().size() + 1);
         return new InstanceShare(
-                listed + announced.size(), share.ownIndex(), share.own(), share.others());
+                listed + announced.size(), share.own(), share.others(), share.counted());
     }
 
     /** Returns the coordinator of the own region, or null if it is this instance. */
--- a/core/src/test/java/org/snipeslip/core/call/InstanceShareTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/InstanceShareTest.java
@@ -9,7 +9,7 @@
 import net.jqwik.api.constraints.IntRange;
 
 /** Guards against parts of a shared limit that add up to more than the limit. */
-class InstanceShareTest {
+public class InstanceShareTest {
     @Property
     void partsAddUpToTheNumberOfCalls(
             @ForAll @IntRange(min = 0, max = 400) int calls,
@@ -65,11 +65,60 @@
         assertThat(sum).isLessThanOrEqualTo(calls);
     }
 
+    @Property
+    void equalPartsAddUpToTheNumberOfCalls(
+            @ForAll @IntRange(min = 1, max = 60) int calls,
+            @ForAll @IntRange(min = 1, max = 120) int instances,
+            @ForAll int server) {
+        int sum = 0;
+        for (InstanceShare share : shares(instances, 3)) {
+            sum += share.ownPart(calls, "s" + server);
+        }
+        assertThat(sum).isEqualTo(calls);
+    }
+
+    /** Instances learn of a new one at different times, and none may use more than before. */
+    @Property
+    void equalPartsNeverGrowWhenAnInstanceJoins(
+            @ForAll @IntRange(min = 0, max = 60) int calls,
+            @ForAll @IntRange(min = 1, max = 120) int instances,
+            @ForAll int server) {
+        List<InstanceShare> before = shares(instances, 3);
+        List<InstanceShare> after = shares(instances + 1, 3);
+        for (int i = 0; i < instances; i++) {
+            assertThat(after.get(i).ownPart(calls, "s" + server))
+                    .isLessThanOrEqualTo(before.get(i).ownPart(calls, "s" + server));
+        }
+    }
+
+    @Property
+    void instanceThatIsNotCountedHasNoPart(
+            @ForAll @IntRange(min = 0, max = 60) int calls,
+            @ForAll @IntRange(min = 1, max = 24) int instances) {
+        InstanceShare.Member own = new InstanceShare.Member("entry-0", "r0");
+        InstanceShare share = new InstanceShare(instances, own, List.of(), false);
+        assertThat(share.ownPart(calls, "s")).isZero();
+        assertThat(share.of(calls, "s", "r0")).isZero();
+        assertThat(share.evenPart(calls)).isZero();
+    }
+
+    /** Returns the shares of instances that all know one another. */
+    public static List<InstanceShare> shares(int instances, int regions) {
+        List<InstanceShare.Member> members = members(instances, regions);
+        List<InstanceShare> shares = new ArrayList<>();
+        for (int i = 0; i < instances; i++) {
+            List<InstanceShare.Member> others = new ArrayList<>(members);
+            InstanceShare.Member own = others.remove(i);
+            shares.add(new InstanceShare(instances, own, others, true));
+        }
+        return shares;
+    }
+
     private static int part(
             int calls, List<InstanceShare.Member> members, int index, int instances, int server) {
         List<InstanceShare.Member> others = new ArrayList<>(members);
         InstanceShare.Member own = others.remove(index);
-        return new InstanceShare(instances, index, own, others).of(calls, "s" + server, "r0");
+        return new InstanceShare(instances, own, others, true).of(calls, "s" + server, "r0");
     }
 
     private static List<InstanceShare.Member> members(int instances, int regions) {
--- a/core/src/test/java/org/snipeslip/core/call/NamedRateLimitTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/NamedRateLimitTest.java
@@ -122,7 +122,7 @@
         for (int i = 0; i < instances; i++) {
             List<InstanceShare.Member> others = new ArrayList<>(members);
             InstanceShare.Member own = others.remove(i);
-            InstanceShare share = new InstanceShare(instances, i, own, others);
+            InstanceShare share = new InstanceShare(instances, own, others, true);
             deployment.engines.get(i).setInstanceShare(share);
         }
         List<BackendServer> servers =
--- a/core/src/test/java/org/snipeslip/core/call/QuotaGateTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/QuotaGateTest.java
@@ -114,7 +114,7 @@
 
     private void setPeers(List<SuspectPeer> peers) {
         InstanceShare.Member own = new InstanceShare.Member("i", "a");
-        InstanceShare share = new InstanceShare(1, 0, own, List.of());
+        InstanceShare share = new InstanceShare(1, own, List.of(), true);
         quotas.setMembers(share, peers, QuotaStanding.NEW, nowNanos, new Outbox());
         quotas.timerFired(nowNanos += SECOND, new Outbox());
     }
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.snipeslip.core.call.InstanceShare;
 import org.snipeslip.core.call.VirtualTime;
 import org.snipeslip.core.id.FailureDomainId;
 import org.snipeslip.core.id.RegionId;
@@ -24,6 +25,7 @@
 
     private static final double LINK_MILLIS = 1;
     private static final double STORE_LINK_MILLIS = 12;
+    private static final double PEER_TIMEOUT_MILLIS = 300;
 
     private final String name;
     private final VirtualTime time;
@@ -102,6 +104,11 @@
         return time.nowNanos() - clockLagNanos;
     }
 
+    /** Returns the part in limits that all instances share, or null if the process is gone. */
+    InstanceShare share() {
+        return alive ? engine.share() : null;
+    }
+
     boolean followsPeer() {
         return alive && engine.followsPeer();
     }
@@ -253,6 +260,7 @@
             case Action.StoreRestored restored -> {
                 // Only logged.
             }
+            case Action.AnnounceInstance announcement -> announce(announcement);
             default -> throw new IllegalStateException("unexpected action " + action);
         }
     }
@@ -330,6 +338,33 @@
         }
     }
 
+    private void announce(Action.AnnounceInstance announcement) {
+        int sender = incarnation;
+        boolean[] done = new boolean[1];
+        Consumer<Boolean> ended =
+                delivered -> {
+                    if (!done[0] && incarnation == sender) {
+                        done[0] = true;
+                        handle(new Event.AnnouncementEnded(announcement, delivered));
+                    }
+                };
+        after(PEER_TIMEOUT_MILLIS, () -> ended.accept(false));
+        SimulatedFollower peer = byAddress.get(announcement.address());
+        if (!peersCut && !peer.peersCut) {
+            after(
+                    LINK_MILLIS,
+                    () -> {
+                        if (peer.alive) {
+                            peer.runUnlessFrozen(
+                                    () -> {
+                                        peer.engine.instanceAnnounced(announcement.announced());
+                                        after(LINK_MILLIS, () -> ended.accept(true));
+                                    });
+                        }
+                    });
+        }
+    }
+
     private Consumer<DiscoveryResponse> deliverUnlessCut(
             SimulatedFollower peer, Consumer<DiscoveryResponse> consumer) {
         return response ->
--- a/core/src/test/java/org/snipeslip/core/quota/SimulatedFleet.java
+++ b/core/src/test/java/org/snipeslip/core/quota/SimulatedFleet.java
@@ -250,8 +250,7 @@
                             .map(o -> new InstanceShare.Member(o.name(), o.region().value()))
                             .toList();
             InstanceShare.Member own = new InstanceShare.Member(name, region.value());
-            InstanceShare share =
-                    new InstanceShare(nodes.size(), nodes.indexOf(this), own, members);
+            InstanceShare share = new InstanceShare(nodes.size(), own, members, true);
             Outbox outbox = new Outbox();
             quotas.setMembers(share, others, standing, time.nowNanos(), outbox);
             execute(outbox);
--- a/core/src/test/java/org/snipeslip/core/warmup/ColdRateTest.java
+++ b/core/src/test/java/org/snipeslip/core/warmup/ColdRateTest.java
@@ -8,6 +8,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.snipeslip.core.call.InstanceShare;
+import org.snipeslip.core.call.InstanceShareTest;
 
 /**
  * Guards against instances that together send more calls to a cold server than allowed, although
@@ -16,18 +18,6 @@
 class ColdRateTest {
     private static final long SECOND_NANOS = 1_000_000_000;
 
-    @Property
-    void sharesAddUpToTheLimit(
-            @ForAll @IntRange(min = 1, max = 60) int limit,
-            @ForAll @IntRange(min = 1, max = 120) int instances,
-            @ForAll int serverHash) {
-        int sum = 0;
-        for (int i = 0; i < instances; i++) {
-            sum += ColdRate.share(limit, instances, i, serverHash);
-        }
-        assertThat(sum).isEqualTo(limit);
-    }
-
     /**
      * Each instance sends whenever its share allows; no second may contain more calls than the
      * limit.
@@ -42,10 +32,11 @@
         for (int i = 0; i < instances; i++) {
             rates.add(new ColdRate());
         }
+        List<InstanceShare> shares = InstanceShareTest.shares(instances, 3);
         List<Long> sentNanos = new ArrayList<>();
         for (long now = 0; now < 4 * SECOND_NANOS; now += 1 + random.nextInt(20_000_000)) {
             int i = random.nextInt(instances);
-            if (rates.get(i).allows(ColdRate.share(limit, instances, i, 7), now)) {
+            if (rates.get(i).allows(shares.get(i).ownPart(limit, "s"), now)) {
                 rates.get(i).sent(now);
                 sentNanos.add(now);
             }
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryGauges.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryGauges.java
@@ -13,6 +13,8 @@
             QuotaGauges.register(instance, metrics);
         }
         metrics.registerGauge("other_instances", instance::otherInstanceCount);
+        metrics.registerGauge("limits_shared_by_instances", () -> instance.share().instances());
+        metrics.registerGauge("has_part_in_limits", () -> instance.share().counted() ? 1 : 0);
         metrics.registerGauge(
                 "config_proof_age_millis", () -> instance.proofAgeMillis(System.nanoTime()));
         metrics.registerGauge("suspected_requests", instance::suspectCount);
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -19,11 +19,13 @@
 import org.snipeslip.core.discovery.CallerLimits;
 import org.snipeslip.core.discovery.DiscoveredConfig;
 import org.snipeslip.core.discovery.DiscoveryKind;
+import org.snipeslip.core.discovery.DiscoveryRecord;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.discovery.StoreRevision;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.DiscoveryInstance;
 import org.snipeslip.core.instance.Event;
+import org.snipeslip.core.instance.Outbox;
 import org.snipeslip.core.instance.PeerAnswer;
 import org.snipeslip.server.http.CallHandler;
 import org.snipeslip.server.http.CallLimits;
@@ -77,6 +79,7 @@
     private final RolloutLink.Http rolloutLink;
     private final DetourLink.Http detourLink;
     private final QuotaLink.Http quotaLink;
+    private final AnnouncementLink.Http announcementLink;
     private final HttpHandler passedCallHandler;
     private final Undertow peerServer;
 
@@ -149,6 +152,8 @@
         driver.setDetourLink(detourLink);
         quotaLink = new QuotaLink.Http(instanceClient, instance, driver);
         driver.setQuotaLink(quotaLink);
+        announcementLink = new AnnouncementLink.Http(instanceClient, this::countInstance);
+        driver.setAnnouncementLink(announcementLink);
         passedCallHandler =
                 proxy.createInstanceHandler(
                         driver,
@@ -250,6 +255,13 @@
         proxy.scheduleClockCheck(CLOCK_CHECK_PERIOD_MILLIS, driver);
     }
 
+    private boolean countInstance(DiscoveryRecord.Instance announced) {
+        Outbox outbox = new Outbox();
+        boolean counted = instance.instanceAnnounced(announced, System.nanoTime(), outbox);
+        driver.execute(outbox.actions());
+        return counted;
+    }
+
     private DiscoveryResponse answerPeer(
             Map<DiscoveryKind, StoreRevision> revisions, boolean indirect) {
         driver.checkClocks();
@@ -300,6 +312,7 @@
             case RolloutLink.PATH -> rolloutLink.handleRequest(exchange);
             case DetourLink.PATH -> detourLink.handleRequest(exchange);
             case QuotaLink.PATH -> quotaLink.handleRequest(exchange);
+            case AnnouncementLink.PATH -> announcementLink.handleRequest(exchange);
             default -> peerFeed.handleRequest(exchange);
         }
     }
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -56,6 +56,7 @@
     private volatile RolloutLink rolloutLink = RolloutLink.NONE;
     private volatile DetourLink detourLink = DetourLink.NONE;
     private volatile QuotaLink quotaLink = QuotaLink.NONE;
+    private volatile AnnouncementLink announcementLink = AnnouncementLink.NONE;
     private volatile boolean closed;
 
     StateMachineDriver(
@@ -124,6 +125,11 @@
         quotaLink = link;
     }
 
+    /** Sets the link to other instances that have to count this one. */
+    void setAnnouncementLink(AnnouncementLink link) {
+        announcementLink = link;
+    }
+
     /** Sets the link to other instances that can send calls for this one. */
     void setDetourLink(DetourLink link) {
         detourLink = link;
@@ -189,6 +195,10 @@
                 case Action.RolloutChanged a -> RolloutLog.log(a.change(), metrics);
                 case Action.AskQuota a ->
                         quotaLink.ask(a, answer -> handle(new Event.QuotaAnswered(a, answer)));
+                case Action.AnnounceInstance a ->
+                        announcementLink.send(
+                                a, delivered -> handle(new Event.AnnouncementEnded(a, delivered)));
+                case Action.InstanceShareChanged a -> logInstanceShare(a);
                 case Action.PullSuspicions a ->
                         suspectLink.pull(a, told -> handle(new Event.SuspicionsPulled(told)));
             }
@@ -265,6 +275,13 @@
                 .log("store was restored from a copy; everything is read again");
     }
 
+    private static void logInstanceShare(Action.InstanceShareChanged change) {
+        LOG.atInfo()
+                .addKeyValue("instances", change.instances())
+                .addKeyValue("counted", change.counted())
+                .log("share of limits on all instances changed");
+    }
+
     private void logLinks(LinkChange change) {
         metrics.linksChanged();
         LoggingEventBuilder line = change.now() == LinkState.CUT_OFF ? LOG.atWarn() : LOG.atInfo();
