Believe a backend server that says that it has become cold

Cause: only the server's entry in the store counted, which it writes up to a heartbeat after it has become cold. Its health answers say so at once (Warmup-Ms), and most calls are preceded by one, but nobody read the field. Two more causes of the same excess: calls sent before the server was known to be cold did not count against the limit; and a call is placed as soon as an idle server has answered its probe, among all servers, so that each instance may choose one by a report from before.

Change: each response may say how long its server will be cold; the longer time holds. An instance whose part is used up does not choose a server by an old report: it waits for the probe that is under way, or takes one with a report of the last 30 ms, as long as there is one. A log line tells who has become cold.

Why it works: an instance sends without fresh news only within its own part, and the parts add up to the limit.

--- a/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
+++ b/core/src/main/java/org/snipeslip/core/call/DecisionRecord.java
@@ -106,7 +106,9 @@
         /** The server names a rate limit, and this instance has used up its share of it. */
         RATE_LIMITED,
         /** A rollout keeps the call away from the version of the server. */
-        OTHER_VERSION
+        OTHER_VERSION,
+        /** It may be cold by now, and the share of this instance is used up. */
+        NO_RECENT_REPORT
     }
 
     /**
--- a/core/src/main/java/org/snipeslip/core/call/LoadReport.java
+++ b/core/src/main/java/org/snipeslip/core/call/LoadReport.java
@@ -14,6 +14,8 @@
  * @param rateLimit the calls that it accepts from all instances together; may be known although the
  *     load is not
  * @param leaving whether it says that it will end; may be known although the load is not
+ * @param coldMillis how much longer it will be cold, in milliseconds, or 0 if it does not say; may
+ *     be known although the load is not
  */
 public record LoadReport(
         int inFlight,
@@ -23,7 +25,8 @@
         double slowdown,
         boolean unhealthy,
         RateLimit rateLimit,
-        boolean leaving) {
+        boolean leaving,
+        long coldMillis) {
     /** The response carried no load report. */
     public static final LoadReport UNKNOWN = new LoadReport(-1, -1, false, false);
 
@@ -36,7 +39,7 @@
      * @param cold whether it reports that it is cold, for example after a start
      */
     public LoadReport(int inFlight, int slots, boolean draining, boolean cold) {
-        this(inFlight, slots, draining, cold, 1, false, RateLimit.UNKNOWN, false);
+        this(inFlight, slots, draining, cold, 1, false, RateLimit.UNKNOWN, false, 0);
     }
 
     /**
@@ -45,7 +48,8 @@
      * @return the changed copy
      */
     public LoadReport asUnhealthy() {
-        return new LoadReport(inFlight, slots, draining, cold, slowdown, true, rateLimit, leaving);
+        return new LoadReport(
+                inFlight, slots, draining, cold, slowdown, true, rateLimit, leaving, coldMillis);
     }
 
     /**
@@ -56,7 +60,15 @@
      */
     public LoadReport withRateLimit(RateLimit newRateLimit) {
         return new LoadReport(
-                inFlight, slots, draining, cold, slowdown, unhealthy, newRateLimit, leaving);
+                inFlight,
+                slots,
+                draining,
+                cold,
+                slowdown,
+                unhealthy,
+                newRateLimit,
+                leaving,
+                coldMillis);
     }
 
     /**
@@ -67,7 +79,34 @@
      */
     public LoadReport withLeaving(boolean newLeaving) {
         return new LoadReport(
-                inFlight, slots, draining, cold, slowdown, unhealthy, rateLimit, newLeaving);
+                inFlight,
+                slots,
+                draining,
+                cold,
+                slowdown,
+                unhealthy,
+                rateLimit,
+                newLeaving,
+                coldMillis);
+    }
+
+    /**
+     * Returns a copy with what the response says about the time that its server will be cold.
+     *
+     * @param newColdMillis the time in milliseconds, or 0 if it does not say
+     * @return the changed copy
+     */
+    public LoadReport withColdMillis(long newColdMillis) {
+        return new LoadReport(
+                inFlight,
+                slots,
+                draining,
+                cold,
+                slowdown,
+                unhealthy,
+                rateLimit,
+                leaving,
+                newColdMillis);
     }
 
     /**
@@ -78,4 +117,13 @@
     public boolean isKnown() {
         return inFlight >= 0;
     }
+
+    /**
+     * Returns whether the report says anything that the response to a probe is needed for.
+     *
+     * @return true if the load, the coming end or a cold period of the server is known
+     */
+    public boolean saysAnything() {
+        return isKnown() || leaving || coldMillis > 0;
+    }
 }
--- a/core/src/main/java/org/snipeslip/core/call/PendingPlacements.java
+++ b/core/src/main/java/org/snipeslip/core/call/PendingPlacements.java
@@ -95,7 +95,9 @@
         probeSentNanos.remove(id);
         List<Placement> decidable = new ArrayList<>(1);
         for (Placement placement : List.copyOf(pending.values())) {
-            if (placement.pendingProbes.remove(id) && (idle || placement.pendingProbes.isEmpty())) {
+            boolean awaited = id.equals(placement.awaited);
+            if (placement.pendingProbes.remove(id)
+                    && (idle || awaited || placement.pendingProbes.isEmpty())) {
                 pending.remove(placement.call.request);
                 decidable.add(placement);
                 // An idle server serves only one call; the others continue to wait.
@@ -105,6 +107,20 @@
         return decidable;
     }
 
+    /**
+     * Lets a call wait on for the probe of a server.
+     *
+     * @return false if none is pending for the call, or its time limit has passed
+     */
+    boolean awaitProbe(Placement placement, BackendServerId id, long nowNanos) {
+        if (nowNanos >= placement.dueNanos || !placement.pendingProbes.contains(id)) {
+            return false;
+        }
+        placement.awaited = id;
+        pending.put(placement.call.request, placement);
+        return true;
+    }
+
     /** Removes and returns the calls whose time limit for probes has passed. */
     List<Placement> takeDue(long nowNanos) {
         List<Placement> due = new ArrayList<>(0);
@@ -167,6 +183,9 @@
         private boolean otherRegions;
         private long dueNanos;
 
+        /** A server whose report is sufficient for a decision although it is not idle, or null. */
+        private BackendServerId awaited;
+
         Placement(CallState call, boolean hedge, boolean otherRegions) {
             this.call = call;
             this.hedge = hedge;
--- a/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerFeedback.java
@@ -12,6 +12,7 @@
  */
 final class ServerFeedback {
     private static final int MIN_ERROR_STATUS = 500;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** A probe that has no answer within this time has failed, so an answer is to a later one. */
     private static final long MAX_PROBE_NANOS = 500_000_000;
@@ -43,7 +44,7 @@
         detour.serverAnswered(state.server.id(), nowNanos, outbox);
         ServiceLoad serviceLoad = pool.serviceLoad();
         applyRateLimit(state, report, openTry.sentAtNanos, false, nowNanos, outbox);
-        applyReport(state, report, nowNanos);
+        applyReport(state, report, false, nowNanos, outbox);
         if (report.leaving()) {
             openTry.sayLeaving();
         }
@@ -82,7 +83,7 @@
             }
         }
         applyRateLimit(state, report, openTry.sentAtNanos, false, nowNanos, outbox);
-        applyReport(state, report, nowNanos);
+        applyReport(state, report, false, nowNanos, outbox);
         if (report.leaving()) {
             leaving(state, false, nowNanos, outbox);
         }
@@ -145,7 +146,7 @@
         detour.serverAnswered(state.server.id(), nowNanos, outbox);
         long earliestSentNanos = nowNanos - MAX_PROBE_NANOS;
         applyRateLimit(state, report, earliestSentNanos, true, nowNanos, outbox);
-        applyReport(state, report, nowNanos);
+        applyReport(state, report, true, nowNanos, outbox);
         // An earlier answer may be one of the incarnation before.
         if (report.leaving() && earliestSentNanos >= state.knownSinceNanos) {
             leaving(state, true, nowNanos, outbox);
@@ -176,7 +177,12 @@
         }
     }
 
-    private void applyReport(ServerState state, LoadReport report, long nowNanos) {
+    private void applyReport(
+            ServerState state, LoadReport report, boolean byProbe, long nowNanos, Outbox outbox) {
+        long coldMillis = report.coldMillis();
+        if (coldMillis > 0 && state.reportedCold(coldMillis * NANOS_PER_MILLI, nowNanos)) {
+            outbox.add(new Action.ServerCold(service, state.server.id(), coldMillis, byProbe));
+        }
         if (!report.isKnown()) {
             return;
         }
--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -70,6 +70,7 @@
     private ServerState[] eligibleStates = new ServerState[0];
     private final int[] tierStart = new int[Distance.values().length + 1];
     private int chosen = -1;
+    private boolean recentlyReportedOnly;
 
     ServerPool(CallSettings settings, InstanceLocation location, RandomGenerator random) {
         this(settings, location, ServiceVersions.UNRESTRICTED, random);
@@ -174,6 +175,33 @@
         return eligibleStates[chosen];
     }
 
+    /**
+     * Selects a server like {@link #choose}, but prefers those that have reported recently or would
+     * not get a call too many if they were cold by now.
+     */
+    ServerState chooseWithinColdLimit(CallState call, long nowNanos) {
+        ServerState any = choose(call, nowNanos);
+        if (any == null || !mayExceedColdLimit(any, nowNanos)) {
+            return any;
+        }
+        recentlyReportedOnly = true;
+        collect(call, nowNanos);
+        recentlyReportedOnly = false;
+        if (eligible.size() == 0) {
+            collect(call, nowNanos);
+        }
+        chosen = policy.choose(eligible, nowNanos, random);
+        return eligibleStates[chosen];
+    }
+
+    /**
+     * Returns whether a call to a server would exceed this instance's share if the server has
+     * become cold since its last report. Without probes before each call no news can be awaited.
+     */
+    boolean mayExceedColdLimit(ServerState state, long nowNanos) {
+        return probesEachCall && state.mayExceedColdLimit(nowNanos);
+    }
+
     /**
      * Selects servers to probe, from a random offset, so that probes spread evenly.
      *
@@ -387,6 +415,9 @@
         if (!state.allowance.allows(nowNanos)) {
             return Exclusion.RATE_LIMITED;
         }
+        if (recentlyReportedOnly && state.mayExceedColdLimit(nowNanos)) {
+            return Exclusion.NO_RECENT_REPORT;
+        }
         boolean hasRoom =
                 probesEachCall
                         ? state.hasRoomWhenProbed(nowNanos)
--- a/core/src/main/java/org/snipeslip/core/call/ServerState.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerState.java
@@ -28,6 +28,9 @@
 
     private static final int BATCH_FULL_REPORT_LATENCIES = 10;
 
+    /** A probe of a server of another region is answered within this time. */
+    private static final long RECENT_REPORT_NANOS = 30_000_000;
+
     /** Longer than a server whose entry has lapsed is missing, for example after an outage. */
     private static final long LIMIT_KEPT_NANOS = 30_000_000_000L;
 
@@ -104,11 +107,23 @@
         }
     }
 
+    /**
+     * Handles a report that the server will be cold for a time. It may have become cold before the
+     * report, so what was sent in the last window counts against the limit.
+     *
+     * @return whether it was not known to be cold
+     */
+    boolean reportedCold(long coldNanos, long nowNanos) {
+        boolean news = !isInColdPeriod(nowNanos);
+        coldUntilNanos = Math.max(coldUntilNanos, nowNanos + coldNanos);
+        return news && isInColdPeriod(nowNanos);
+    }
+
     /** Counts a call that is sent, also against the rate limits that apply now. */
     void sent(long nowNanos) {
         load.sent(nowNanos);
         allowance.sent(nowNanos);
-        if (isInColdPeriod(nowNanos)) {
+        if (server.warmUp().callsPerSecond() > 0) {
             coldRate.sent(nowNanos);
         }
     }
@@ -126,6 +141,18 @@
         return server.warmUp().callsPerSecond() > 0 && nowNanos < coldUntilNanos;
     }
 
+    /**
+     * Returns whether one more call would exceed this instance's share if the server has become
+     * cold since it was last heard of.
+     */
+    boolean mayExceedColdLimit(long nowNanos) {
+        if (server.warmUp().callsPerSecond() == 0 || coldRate.allows(coldCallShare, nowNanos)) {
+            return false;
+        }
+        long reportAgeNanos = load.reportAgeNanos(nowNanos);
+        return reportAgeNanos < 0 || reportAgeNanos > RECENT_REPORT_NANOS;
+    }
+
     /**
      * Returns the number of calls that may be in flight now. With a baseline policy only the share
      * of the connections limits it.
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -349,7 +349,7 @@
             return;
         }
         if (queue.isEmpty()) {
-            ServerState chosen = pool.choose(call, nowNanos);
+            ServerState chosen = pool.chooseWithinColdLimit(call, nowNanos);
             if (chosen != null) {
                 sender.send(call, chosen, false, nowNanos, outbox);
                 return;
@@ -379,7 +379,7 @@
                 admission.refuseExpired(nowNanos, outbox);
                 continue;
             }
-            ServerState chosen = pool.choose(call, nowNanos);
+            ServerState chosen = pool.chooseWithinColdLimit(call, nowNanos);
             if (chosen != null) {
                 queue.dequeue(call, nowNanos);
                 sender.send(call, chosen, false, nowNanos, outbox);
--- a/core/src/main/java/org/snipeslip/core/call/ShardPlacer.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardPlacer.java
@@ -50,6 +50,12 @@
             return;
         }
         ServerState chosen = pool.choose(call, nowNanos);
+        if (chosen != null && pool.mayExceedColdLimit(chosen, nowNanos)) {
+            if (placements.awaitProbe(placement, chosen.server.id(), nowNanos)) {
+                return;
+            }
+            chosen = pool.chooseWithinColdLimit(call, nowNanos);
+        }
         boolean freeSlot = chosen != null && chosen.load.hasFreeSlot(nowNanos);
         boolean soonEnough = freeSlot || chosen != null && pool.meetsTarget(call, nowNanos);
         if (!soonEnough
--- a/core/src/main/java/org/snipeslip/core/instance/Action.java
+++ b/core/src/main/java/org/snipeslip/core/instance/Action.java
@@ -240,6 +240,18 @@
             ServiceId service, BackendServerId backendServer, long incarnation, boolean byProbe)
             implements Action {}
 
+    /**
+     * Reports that a backend server has become cold by its own word, for the log.
+     *
+     * @param service service of the server
+     * @param backendServer the server
+     * @param coldMillis how long it will be cold
+     * @param byProbe whether the answer to a probe says so
+     */
+    record ServerCold(
+            ServiceId service, BackendServerId backendServer, long coldMillis, boolean byProbe)
+            implements Action {}
+
     /**
      * Reports that the store was restored from a copy, for the log.
      *
--- a/core/src/main/java/org/snipeslip/core/warmup/ColdRate.java
+++ b/core/src/main/java/org/snipeslip/core/warmup/ColdRate.java
@@ -20,18 +20,23 @@
      * @return true if fewer calls than the share were sent in the window
      */
     public boolean allows(int share, long nowNanos) {
-        while (!sentNanos.isEmpty() && nowNanos - sentNanos.peek() >= WINDOW_NANOS) {
-            sentNanos.poll();
-        }
+        forgetOld(nowNanos);
         return sentNanos.size() < share;
     }
 
     /**
-     * Records a call that is sent.
+     * Records a call that is sent, also while the server is warm.
      *
      * @param nowNanos the current time in nanoseconds
      */
     public void sent(long nowNanos) {
+        forgetOld(nowNanos);
         sentNanos.add(nowNanos);
     }
+
+    private void forgetOld(long nowNanos) {
+        while (!sentNanos.isEmpty() && nowNanos - sentNanos.peek() >= WINDOW_NANOS) {
+            sentNanos.poll();
+        }
+    }
 }
--- a/core/src/test/java/org/snipeslip/core/call/FakeDeployment.java
+++ b/core/src/test/java/org/snipeslip/core/call/FakeDeployment.java
@@ -122,6 +122,9 @@
                 case Action.ServerLeaving a -> {
                     // Only logged.
                 }
+                case Action.ServerCold a -> {
+                    // Only logged.
+                }
                 case Action.ShortageChanged a -> {
                     // Only logged.
                 }
@@ -179,7 +182,7 @@
         probes++;
         models.get(engine).checkProbe(order.target(), config, nowNanos);
         FakeServer server = servers.get(order.target().id());
-        LoadReport report = server.report();
+        LoadReport report = server.report(nowNanos);
         Event answer =
                 server.down
                         ? new Event.ProbeFailed(order.service(), order.target().id())
@@ -204,6 +207,7 @@
 
     private void receive(FakeServer server, FakeTry fakeTry) {
         server.arrivedNanos.add(nowNanos);
+        server.sentNanos.add(fakeTry.call.arrivedNanos);
         if (server.down) {
             fail(fakeTry, TryFailure.NOT_CONNECTED);
         } else if (server.isFull()) {
@@ -245,7 +249,7 @@
     }
 
     private void answer(FakeTry fakeTry, int status) {
-        LoadReport report = fakeTry.server.report();
+        LoadReport report = fakeTry.server.report(nowNanos);
         schedule(
                 DeploymentFixtures.delayNanos(domains.get(fakeTry.engine), fakeTry.order.target()),
                 () -> {
@@ -280,7 +284,7 @@
             fakeTry.ended = true;
             LoadReport report =
                     failure == TryFailure.REFUSED_NOT_RUN
-                            ? fakeTry.server.report()
+                            ? fakeTry.server.report(nowNanos)
                             : LoadReport.UNKNOWN;
             handle(fakeTry.engine, new Event.TryFailed(fakeTry.order.tryId(), failure, report));
         }
--- a/core/src/test/java/org/snipeslip/core/call/FakeServer.java
+++ b/core/src/test/java/org/snipeslip/core/call/FakeServer.java
@@ -21,7 +21,15 @@
     boolean reportsCold;
     boolean draining;
     RateLimit rateLimit = RateLimit.UNLIMITED;
+
+    /** Until when it says that it is cold. */
+    long coldUntilNanos;
+
     final List<Long> arrivedNanos = new ArrayList<>();
+
+    /** When the callers sent what arrived, in the order of {@link #arrivedNanos}. */
+    final List<Long> sentNanos = new ArrayList<>();
+
     int running;
     int maxHeld;
     long served;
@@ -42,8 +50,10 @@
         return refuses || queue.size() >= QUEUE_PER_SLOT * config.slots();
     }
 
-    LoadReport report() {
+    LoadReport report(long nowNanos) {
+        long coldMillis = Math.max(0, (coldUntilNanos - nowNanos) / 1_000_000);
         return new LoadReport(running + queue.size(), config.slots(), draining, reportsCold)
-                .withRateLimit(rateLimit);
+                .withRateLimit(rateLimit)
+                .withColdMillis(coldMillis);
     }
 }
--- a/server/src/main/java/org/snipeslip/server/http/BackendTry.java
+++ b/server/src/main/java/org/snipeslip/server/http/BackendTry.java
@@ -286,7 +286,7 @@
         LoadReport load = dialect.readLoad(headers);
         if (action.handover() != null) {
             // The response of an instance that got the call says nothing about that instance.
-            load = load.withLeaving(false);
+            load = load.withLeaving(false).withColdMillis(0);
         }
         int status = response.getResponseCode();
         if (!matchesRequestId(headers)) {
--- a/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
+++ b/server/src/main/java/org/snipeslip/server/http/HttpDialect.java
@@ -16,6 +16,8 @@
  *     decimal number in its responses; null if servers name no limit
  * @param leaving 1 in the responses of a backend server that will end; null if servers do not say
  *     so
+ * @param coldMillis time for which a backend server will still be cold, in milliseconds, in its
+ *     responses; null if servers do not say so
  * @param notRun present in a response if the backend server did not start to process the call
  * @param expectedServer name of the backend server that a call is addressed to; a server with
  *     another name refuses it with 421; null if servers do not check it
@@ -41,6 +43,7 @@
         HttpString load,
         HttpString rateLimit,
         HttpString leaving,
+        HttpString coldMillis,
         HttpString notRun,
         HttpString expectedServer,
         HttpString serverName,
@@ -65,6 +68,7 @@
                     SnipeslipHeaders.LOAD,
                     null,
                     null,
+                    null,
                     SnipeslipHeaders.NOT_RUN,
                     null,
                     null,
@@ -77,12 +81,16 @@
                     IDLE_MILLIS,
                     false);
 
-    /** Reads what a response says about its backend server: load, rate limit and coming end. */
+    /**
+     * Reads what a response says about its backend server: load, rate limit, coming end and cold
+     * period.
+     */
     LoadReport readLoad(HeaderMap headers) {
         return loadReader
                 .apply(headers.getFirst(load))
                 .withRateLimit(RateLimitHeader.read(rateLimit, headers))
-                .withLeaving(leaving != null && LEAVING.equals(headers.getFirst(leaving)));
+                .withLeaving(leaving != null && LEAVING.equals(headers.getFirst(leaving)))
+                .withColdMillis(ColdTimeHeader.read(coldMillis, headers));
     }
 
     /**
@@ -97,6 +105,7 @@
                 load,
                 rateLimit,
                 leaving,
+                coldMillis,
                 notRun,
                 expectedServer,
                 serverName,
--- a/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
+++ b/server/src/main/java/org/snipeslip/server/http/ProbeSender.java
@@ -180,7 +180,7 @@
             LoadReport load = dialect.readLoad(headers);
             boolean ok = response.getResponseCode() == OK;
             if (purpose != Purpose.LOAD
-                    || !load.isKnown() && !load.leaving()
+                    || !load.saysAnything()
                     || !isFromTarget(headers)
                     || !ok && dialect.serverName() == null) {
                 fail(isFromTarget(headers) ? ServerPresence.RUNNING : ServerPresence.GONE);
--- a/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/StateMachineDriver.java
@@ -174,6 +174,7 @@
                 case Action.RateLimitChanged a -> logRateLimit(a);
                 case Action.ShortageChanged a -> logShortage(a);
                 case Action.ServerLeaving a -> logServerLeaving(a);
+                case Action.ServerCold a -> logServerCold(a);
                 case Action.StoreRestored a -> logStoreRestored(a);
                 case Action.CheckServer a -> probeSender.check(a);
                 case Action.TestLink a -> probeSender.test(a);
@@ -267,6 +268,15 @@
                 .log("backend server says that it leaves");
     }
 
+    private static void logServerCold(Action.ServerCold cold) {
+        LOG.atInfo()
+                .addKeyValue("service", cold.service())
+                .addKeyValue("backendServer", cold.backendServer())
+                .addKeyValue("coldMillis", cold.coldMillis())
+                .addKeyValue("source", cold.byProbe() ? "probe" : "call")
+                .log("backend server has become cold");
+    }
+
     private void logStoreRestored(Action.StoreRestored restored) {
         metrics.storeRestored();
         LOG.atWarn()
--- a/server/src/test/java/org/snipeslip/server/http/HttpFixture.java
+++ b/server/src/test/java/org/snipeslip/server/http/HttpFixture.java
@@ -81,6 +81,7 @@
                 new HttpString("Load"),
                 new HttpString("Limit"),
                 new HttpString("Leaving"),
+                new HttpString("Cold-For"),
                 new HttpString("Refused"),
                 new HttpString("Meant-For"),
                 new HttpString("Server-Name"),
