Relay no status that promises too much for a call that may have run

Callers saw: an unsafe call was answered with the 503 of a backend server that had run it.

Cause: the statuses 408, 421, 429 and 503 state that a call has not run. The instance kept them for such calls among its own refusals only. An answer of a backend server without Not-Executed was relayed whatever its status, by ServiceShard and, if another instance has sent the call, by Detour.

Ruled out: that the instance itself sends the call again (each request id reached one server). 421 is handled already: only a server that the call is not meant for sends it, and the call goes elsewhere.

Change: where callers repeat by status (CallSettings.repeatsByStatus, set on the platform) such an answer to a call that is not idempotent is dropped; the caller gets 502 without signature and Retry-After, reason not-run-unproven, outcome unknown. Idempotent calls and the product's own interface are unchanged.

Why it works: after a byte of such a call may have reached a server, only answers that say "not executed" by the field end with one of the four statuses. A failure without signature is allowed for any answer.

--- a/core/src/main/java/org/snipeslip/core/call/CallEngine.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallEngine.java
@@ -124,7 +124,7 @@
         this.random = new SplittableRandom(seed);
         this.budget = new ProbeBudget(settings.probeSettings());
         this.instanceShare = new InstanceShare(settings.instances(), true);
-        this.detour = new Detour(region, openCalls, new SplittableRandom(seed + 2));
+        this.detour = new Detour(settings, region, openCalls, new SplittableRandom(seed + 2));
         SplitChooser splitChooser = new SplitChooser(new SplittableRandom(seed + 1));
         CallSubmission submission =
                 new CallSubmission(settings, detour, openCalls, shards, splitChooser);
--- a/core/src/main/java/org/snipeslip/core/call/CallSettings.java
+++ b/core/src/main/java/org/snipeslip/core/call/CallSettings.java
@@ -21,6 +21,9 @@
  *     own, which is full at the start
  * @param relaysToHomeRegions whether an instance outside the home regions of a call forwards it to
  *     a backend server inside them; otherwise it refuses the call
+ * @param repeatsByStatus whether callers repeat a call that must run at most once after a status
+ *     that {@link Refusal#statesNotRun} names; a response of a backend server with such a status is
+ *     then relayed only if the call is idempotent
  */
 public record CallSettings(
         int maxTries,
@@ -34,7 +37,8 @@
         long queueIntervalMillis,
         ProbeSettings probeSettings,
         int retryBurst,
-        boolean relaysToHomeRegions) {
+        boolean relaysToHomeRegions,
+        boolean repeatsByStatus) {
     /** Default settings. */
     public static final CallSettings DEFAULT =
             new CallSettings(
@@ -49,8 +53,21 @@
                     10,
                     ProbeSettings.DEFAULT,
                     0,
+                    false,
                     false);
 
+    /**
+     * Returns whether a response of a backend server, or of an instance that got the call, may be
+     * relayed.
+     *
+     * @param idempotent whether the call may run more than once
+     * @param status status code of the response, which does not prove that the call has not run
+     * @return false if the status would state that the call has not run
+     */
+    boolean mayRelay(boolean idempotent, int status) {
+        return idempotent || !repeatsByStatus || !Refusal.statesNotRun(status);
+    }
+
     /**
      * Returns a copy with a different number of instances.
      *
@@ -70,7 +87,8 @@
                 queueIntervalMillis,
                 probeSettings,
                 retryBurst,
-                relaysToHomeRegions);
+                relaysToHomeRegions,
+                repeatsByStatus);
     }
 
     /**
@@ -92,7 +110,8 @@
                 queueIntervalMillis,
                 probeSettings,
                 retryBurst,
-                relaysToHomeRegions);
+                relaysToHomeRegions,
+                repeatsByStatus);
     }
 
     /**
@@ -113,7 +132,8 @@
                 queueIntervalMillis,
                 probeSettings,
                 retryBurst,
-                relaysToHomeRegions);
+                relaysToHomeRegions,
+                repeatsByStatus);
     }
 
     /**
@@ -134,6 +154,29 @@
                 queueIntervalMillis,
                 newProbeSettings,
                 retryBurst,
-                relaysToHomeRegions);
+                relaysToHomeRegions,
+                repeatsByStatus);
+    }
+
+    /**
+     * Returns a copy for callers that repeat calls by the status of the response.
+     *
+     * @return the changed copy
+     */
+    public CallSettings withRepeatsByStatus() {
+        return new CallSettings(
+                maxTries,
+                maxDepth,
+                queueLimit,
+                instances,
+                policy,
+                retryPercent,
+                hedging,
+                queueTargetMillis,
+                queueIntervalMillis,
+                probeSettings,
+                retryBurst,
+                relaysToHomeRegions,
+                true);
     }
 }
--- a/core/src/main/java/org/snipeslip/core/call/Detour.java
+++ b/core/src/main/java/org/snipeslip/core/call/Detour.java
@@ -54,6 +54,7 @@
     /** Only the calls of callers bound the connections between two instances. */
     private static final int CONNECTION_LIMIT = 65_535;
 
+    private final CallSettings settings;
     private final OpenCalls openCalls;
     private final RandomGenerator random;
     private final DetourPeers peers;
@@ -66,7 +67,8 @@
     /** Whether there is an instance to which calls could be passed. */
     private volatile boolean hasPeers;
 
-    Detour(RegionId region, OpenCalls openCalls, RandomGenerator random) {
+    Detour(CallSettings settings, RegionId region, OpenCalls openCalls, RandomGenerator random) {
+        this.settings = settings;
         this.openCalls = openCalls;
         this.random = random;
         this.peers = new DetourPeers(region, random);
@@ -245,9 +247,19 @@
     public synchronized void answered(
             TryId tryId, int status, LoadReport load, long nowNanos, Outbox outbox) {
         PassedCall passedCall = find(tryId);
-        if (passedCall != null && !passedCall.answered) {
+        if (passedCall == null || passedCall.answered) {
+            return;
+        }
+        CallState call = passedCall.call;
+        if (settings.mayRelay(call.idempotent, status)) {
             passedCall.answered = true;
             outbox.add(new Action.RelayAnswer(tryId));
+        } else {
+            // An instance that has not sent the call on says so in a field.
+            call.mayHaveStarted = true;
+            call.bytesSent = true;
+            outbox.add(new Action.CancelTry(tryId));
+            refuse(passedCall, RefusalReason.NOT_RUN_UNPROVEN, outbox);
         }
     }
 
--- a/core/src/main/java/org/snipeslip/core/call/Refusal.java
+++ b/core/src/main/java/org/snipeslip/core/call/Refusal.java
@@ -34,11 +34,22 @@
      * @return the status code
      */
     public int status() {
-        return outcome == Outcome.UNKNOWN && NOT_RUN_STATUSES.contains(reason.status())
+        return outcome == Outcome.UNKNOWN && statesNotRun(reason.status())
                 ? BAD_GATEWAY
                 : reason.status();
     }
 
+    /**
+     * Returns whether callers may read a status as a statement that the call did not run and never
+     * will.
+     *
+     * @param status status code of a response
+     * @return true if it may be sent only for a call that did not run, or that may run again
+     */
+    public static boolean statesNotRun(int status) {
+        return NOT_RUN_STATUSES.contains(status);
+    }
+
     /**
      * Creates a refusal of a call of which no byte was sent to a backend server.
      *
--- a/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
+++ b/core/src/main/java/org/snipeslip/core/call/RefusalReason.java
@@ -30,6 +30,11 @@
     DEADLINE_EXCEEDED(504),
     /** The connection to the backend server failed. */
     BACKEND_SERVER_FAILED(502),
+    /**
+     * The backend server responded with a status that states that the call did not run, but not in
+     * the way in which backend servers refuse calls before they begin to run them.
+     */
+    NOT_RUN_UNPROVEN(502),
     /** The backend server refused the call and no further try is allowed. */
     BACKEND_SERVER_REFUSED(503),
     /** No connection to a backend server could be opened. */
--- a/core/src/test/java/org/snipeslip/core/call/DetourTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/DetourTest.java
@@ -37,7 +37,11 @@
     private static final TimerId TICK = new TimerId(EngineName.DETOUR, "links");
 
     private final CallEngine engine =
-            new CallEngine(relaying(CallSettings.DEFAULT), REGION, new FailureDomainId("a1"), 1);
+            new CallEngine(
+                    relaying(CallSettings.DEFAULT).withRepeatsByStatus(),
+                    REGION,
+                    new FailureDomainId("a1"),
+                    1);
     private final List<BackendServer> servers = DeploymentFixtures.servers(8, 2, "a1", "b1");
     private long nowNanos = 1_000 * MILLI;
     private int calls;
@@ -67,6 +71,25 @@
         assertThat(engine.openCalls()).isZero();
     }
 
+    /**
+     * Guards against a call that runs twice because another instance passes on a status by which
+     * its caller repeats it.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {408, 421, 429, 503})
+    void answerOfAnotherInstanceThatDoesNotProveItsStatusIsNotRelayed(int status) {
+        cutOff();
+        Action.SendTry sent = sent(arrive("POST"));
+        List<Action> answered =
+                handle(new Event.TryAnswered(sent.tryId(), status, LoadReport.UNKNOWN));
+        assertThat(answered).contains(new Action.CancelTry(sent.tryId()));
+        assertThat(answered).noneMatch(Action.RelayAnswer.class::isInstance);
+        assertThat(refusal(answered).outcome()).isEqualTo(Outcome.UNKNOWN);
+        assertThat(refusal(answered).status()).isEqualTo(502);
+        assertThat(refusal(answered).retryAfterMillis()).isZero();
+        assertThat(engine.openCalls()).isZero();
+    }
+
     /** Guards against a call that waits for its deadline although nobody can send it. */
     @Test
     void refusesCallAtOnceWhenNoInstanceIsWilling() {
@@ -246,7 +269,8 @@
                 from.queueIntervalMillis(),
                 from.probeSettings(),
                 from.retryBurst(),
-                true);
+                true,
+                from.repeatsByStatus());
     }
 
     private void failLinks() {
