End the announcements of an instance to others that are gone

Cause: gave up announcements after 30 s only while the instance was not counted yet. A restarted one is counted at once, so with another one gone for good its timer was due for ever: a busy loop from 30 s after the start. Announcements that failed kept their place in the order, so eight instances that are gone held up those to all others. Both were found by reading the code again.

Change: announcements end after 30 s in any case; one that failed goes to the end of the order.

--- a/core/src/main/java/org/snipeslip/core/discovery/JoinAnnouncer.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/JoinAnnouncer.java
@@ -105,16 +105,11 @@
      * @param delivered whether the other instance counts this one from now on
      */
     void ended(Action.AnnounceInstance sent, boolean delivered, long nowNanos) {
-        Recipient recipient = untold.get(sent.recipient());
         pending--;
-        if (recipient == null) {
-            return;
-        }
-        if (delivered) {
-            untold.remove(sent.recipient());
-        } else {
-            recipient.pending = false;
-            recipient.dueNanos = nowNanos + RETRY_NANOS;
+        Recipient recipient = untold.remove(sent.recipient());
+        if (recipient != null && !delivered) {
+            // At the end, so that instances that are gone hold up no others.
+            untold.put(sent.recipient(), new Recipient(recipient.address, nowNanos + RETRY_NANOS));
         }
     }
 
@@ -136,12 +131,12 @@
     }
 
     private boolean update(long nowNanos) {
+        if (begun && nowNanos - begunNanos >= listedNanos) {
+            untold.clear();
+        }
         if (!begun || counted) {
             return false;
         }
-        if (nowNanos - begunNanos >= listedNanos) {
-            untold.clear();
-        }
         if (untold.isEmpty() && countedFromNanos == NEVER) {
             // Others may have sent calls by their larger parts until now.
             countedFromNanos = nowNanos + ColdRate.WINDOW_NANOS;
@@ -153,7 +148,7 @@
     /** An instance that has not confirmed an announcement. */
     private static final class Recipient {
         final String address;
-        long dueNanos;
+        final long dueNanos;
         boolean pending;
 
         Recipient(String address, long dueNanos) {
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
@@ -48,6 +48,7 @@
     private boolean turnedAway;
     private boolean powered = true;
     private long maxProofAgeMillis;
+    private int announcements;
 
     /** What the steady clock of the machine has not counted. */
     private long clockLagNanos;
@@ -338,7 +339,13 @@
         }
     }
 
+    /** Returns how many announcements the instance has sent. */
+    int announcements() {
+        return announcements;
+    }
+
     private void announce(Action.AnnounceInstance announcement) {
+        announcements++;
         int sender = incarnation;
         boolean[] done = new boolean[1];
         Consumer<Boolean> ended =
