Spare recomputing shares while an instance has no part, and log less

Cause: an instance that starts with 150 others is told of each of them and recomputed its parts of all backend servers each time, though it has none yet. The log told each change of the list of instances, also of the rehearsal, although number and part were the same. Seen on re-reading.

Change: parts are recomputed once the instance is counted. The line is written if the number or the part has changed.

No figure of the cost was taken.

--- a/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
+++ b/core/src/main/java/org/snipeslip/core/discovery/InstanceRegistry.java
@@ -104,7 +104,10 @@
                 return false;
             }
             announced.put(name, instance);
-            updateShare();
+            if (announcer.isCounted()) {
+                // Otherwise there is no part that could become smaller.
+                updateShare();
+            }
         }
         return true;
     }
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -404,9 +404,14 @@
     private synchronized void updateShare(long nowNanos, Outbox outbox) {
         InstanceShare next = discovery.share();
         if (!next.equals(share)) {
+            InstanceShare before = share;
             share = next;
             calls.setInstanceShare(next);
-            outbox.add(new Action.InstanceShareChanged(next.instances(), next.counted()));
+            if (before != null
+                    && (next.instances() != before.instances()
+                            || next.counted() != before.counted())) {
+                outbox.add(new Action.InstanceShareChanged(next.instances(), next.counted()));
+            }
         }
         List<SuspectPeer> others = discovery.otherInstances();
         sharing.setPeers(others);
