--- a/core/src/main/java/org/snipeslip/core/call/ServerPool.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServerPool.java
@@ -57,6 +57,7 @@
     private final ServiceLoad serviceLoad = new ServiceLoad();
     private final WaitLimit waitLimit = new WaitLimit();
     private final CallVersions versions;
+    private final ServerEligibility eligibility;
     private final Map<BackendServerId, ServerState> byId = new HashMap<>();
 
     private final RemovedServers removed = new RemovedServers();
@@ -70,7 +71,6 @@
     private ServerState[] eligibleStates = new ServerState[0];
     private final int[] tierStart = new int[Distance.values().length + 1];
     private int chosen = -1;
-    private boolean recentlyReportedOnly;
 
     ServerPool(CallSettings settings, InstanceLocation location, RandomGenerator random) {
         this(settings, location, ServiceVersions.UNRESTRICTED, random);
@@ -85,10 +85,11 @@
         this.location = location;
         this.random = random;
         this.excluded = new ExcludedServers(random);
-        this.versions = new CallVersions(versions);
         this.policy = SelectionPolicy.of(settings.policy());
         this.adaptive = settings.policy().isAdaptive();
         this.probesEachCall = settings.policy() == PolicyName.PROBED;
+        this.versions = new CallVersions(versions);
+        this.eligibility = new ServerEligibility(this.versions, settings.policy());
         this.instanceShare = new InstanceShare(settings.instances(), true);
     }
 
@@ -184,9 +185,9 @@
         if (any == null || !mayExceedColdLimit(any, nowNanos)) {
             return any;
         }
-        recentlyReportedOnly = true;
+        eligibility.setRecentlyReportedOnly(true);
         collect(call, nowNanos);
-        recentlyReportedOnly = false;
+        eligibility.setRecentlyReportedOnly(false);
         if (eligible.size() == 0) {
             collect(call, nowNanos);
         }
@@ -194,12 +195,9 @@
         return eligibleStates[chosen];
     }
 
-    /**
-     * Returns whether a call to a server would exceed this instance's share if the server has
-     * become cold since its last report. Without probes before each call no news can be awaited.
-     */
+    /** Returns whether a call to a server may exceed the limit of a cold one, see there. */
     boolean mayExceedColdLimit(ServerState state, long nowNanos) {
-        return probesEachCall && state.mayExceedColdLimit(nowNanos);
+        return eligibility.mayExceedColdLimit(state, nowNanos);
     }
 
     /**
@@ -219,7 +217,7 @@
         int offset = size > 0 ? random.nextInt(size) : 0;
         for (int i = 0; i < size && targets.size() < maxTargets; i++) {
             ServerState state = byDistance[from + (offset + i) % size];
-            if (exclusion(state, call, nowNanos) == Exclusion.NONE) {
+            if (eligibility.exclusion(state, call, nowNanos) == Exclusion.NONE) {
                 targets.add(state);
             }
         }
@@ -384,7 +382,7 @@
     }
 
     private void consider(ServerState state, CallState call, long nowNanos) {
-        Exclusion exclusion = exclusion(state, call, nowNanos);
+        Exclusion exclusion = eligibility.exclusion(state, call, nowNanos);
         if (exclusion == Exclusion.NONE) {
             eligibleStates[eligible.size()] = state;
             eligible.add(state.load);
@@ -392,36 +390,4 @@
         }
         excluded.add(state, exclusion, nowNanos);
     }
-
-    private Exclusion exclusion(ServerState state, CallState call, long nowNanos) {
-        if (!call.homeRegions.allows(state.region)) {
-            return Exclusion.OUTSIDE_HOME_REGIONS;
-        }
-        if (!state.failureDomainInService) {
-            return Exclusion.FAILURE_DOMAIN_OUT;
-        }
-        if (state.isDraining()) {
-            return Exclusion.DRAINING;
-        }
-        if (!versions.allows(call, state)) {
-            return Exclusion.OTHER_VERSION;
-        }
-        if (call.wasTriedAt(state)) {
-            return Exclusion.ALREADY_TRIED;
-        }
-        if (state.runsSuspect) {
-            return Exclusion.RUNS_SUSPECT;
-        }
-        if (!state.allowance.allows(nowNanos)) {
-            return Exclusion.RATE_LIMITED;
-        }
-        if (recentlyReportedOnly && state.mayExceedColdLimit(nowNanos)) {
-            return Exclusion.NO_RECENT_REPORT;
-        }
-        boolean hasRoom =
-                probesEachCall
-                        ? state.hasRoomWhenProbed(nowNanos)
-                        : state.hasRoom(adaptive, call.route.callClass(), nowNanos);
-        return hasRoom ? Exclusion.NONE : Exclusion.AT_LIMIT;
-    }
 }
--- a/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
+++ b/core/src/main/java/org/snipeslip/core/call/ServiceShard.java
@@ -26,7 +26,6 @@
     /** Flows that one dispatch may skip because no server has room for their calls. */
     private static final int MAX_BLOCKED_FLOWS = 8;
 
-    private final CallSettings settings;
     private final ServiceId service;
     private final Detour detour;
     private final ServerPool pool;
@@ -55,7 +54,6 @@
             ServiceVersions versions,
             RandomGenerator random) {
         this.service = service;
-        this.settings = settings;
         this.detour = detour;
         this.pool = new ServerPool(settings, location, versions, random);
         this.queue = new ShardQueue(settings, pool.serviceLoad(), random);
@@ -160,26 +158,10 @@
         hedgeQueue.observe(nowNanos - openTry.sentAtNanos);
         feedback.answered(openTry, status, load, nowNanos, outbox);
         suspects.answered(call, status, nowNanos, outbox);
-        if (settings.mayRelay(call.idempotent, status)) {
-            call.winner = openTry;
-            outbox.add(new Action.RelayAnswer(tryId));
-            sender.cancelOpenTries(call, nowNanos, outbox);
-        } else {
-            refuseUnproven(call, openTry, nowNanos, outbox);
-        }
+        sender.relayOrRefuse(call, openTry, status, nowNanos, outbox);
         dispatchWaiting(nowNanos, outbox);
     }
 
-    /** Refuses a call that may have run, instead of relaying a status that states the opposite. */
-    private void refuseUnproven(CallState call, OpenTry openTry, long nowNanos, Outbox outbox) {
-        openTry.release();
-        outbox.add(new Action.CancelTry(openTry.id));
-        sender.cancelOpenTries(call, nowNanos, outbox);
-        call.mayHaveStarted = true;
-        call.bytesSent = true;
-        calls.refuse(call, RefusalReason.NOT_RUN_UNPROVEN, 0, outbox);
-    }
-
     @Override
     public synchronized void completed(
             TryId tryId, RecordableAnswer answer, long nowNanos, Outbox outbox) {
--- a/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardAdmission.java
@@ -107,6 +107,11 @@
         calls.refuse(call, reason, 0, outbox);
     }
 
+    /** Refuses a call whose server states without proof that it has not run. */
+    void refuseUnproven(CallState call, Outbox outbox) {
+        calls.refuse(call, RefusalReason.NOT_RUN_UNPROVEN, 0, outbox);
+    }
+
     /** Refuses a call whose request crashes servers, or must wait until a server is idle. */
     void refuseSuspect(CallState call, Verdict verdict, long nowNanos, Outbox outbox) {
         if (verdict instanceof Verdict.Refuse refuse) {
--- a/core/src/main/java/org/snipeslip/core/call/ShardSender.java
+++ b/core/src/main/java/org/snipeslip/core/call/ShardSender.java
@@ -99,6 +99,25 @@
                 && pool.versions().maySend(openTry.server.server);
     }
 
+    /**
+     * Relays the response of a server, or refuses its call if the status would state that the call
+     * has not run.
+     */
+    void relayOrRefuse(CallState call, OpenTry openTry, int status, long nowNanos, Outbox outbox) {
+        if (settings.mayRelay(call.idempotent, status)) {
+            call.winner = openTry;
+            outbox.add(new Action.RelayAnswer(openTry.id));
+            cancelOpenTries(call, nowNanos, outbox);
+            return;
+        }
+        openTry.release();
+        outbox.add(new Action.CancelTry(openTry.id));
+        cancelOpenTries(call, nowNanos, outbox);
+        call.mayHaveStarted = true;
+        call.bytesSent = true;
+        admission.refuseUnproven(call, outbox);
+    }
+
     /** Cancels the open tries, except the one whose response is being relayed. */
     void cancelOpenTries(CallState call, long nowNanos, Outbox outbox) {
         for (OpenTry openTry : call.tries) {
--- a/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
+++ b/core/src/main/java/org/snipeslip/core/instance/DiscoveryInstance.java
@@ -6,7 +6,6 @@
 import org.snipeslip.core.access.ProofSource;
 import org.snipeslip.core.call.CallEngine;
 import org.snipeslip.core.call.CallSettings;
-import org.snipeslip.core.call.InstanceShare;
 import org.snipeslip.core.call.QuotaGate;
 import org.snipeslip.core.config.ConfigSet;
 import org.snipeslip.core.discovery.ConfigProof;
@@ -14,7 +13,6 @@
 import org.snipeslip.core.discovery.DiscoveryEngine;
 import org.snipeslip.core.discovery.DiscoveryEngineSettings;
 import org.snipeslip.core.discovery.DiscoveryKind;
-import org.snipeslip.core.discovery.DiscoveryRecord;
 import org.snipeslip.core.discovery.DiscoveryRequest;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.discovery.StoreRevision;
@@ -35,7 +33,6 @@
 import org.snipeslip.core.suspect.SuspectAnswer;
 import org.snipeslip.core.suspect.SuspectChange;
 import org.snipeslip.core.suspect.SuspectMessage;
-import org.snipeslip.core.suspect.SuspectPeer;
 import org.snipeslip.core.suspect.SuspectQuestion;
 import org.snipeslip.core.suspect.SuspectSharing;
 import org.snipeslip.core.suspect.SuspectTable;
@@ -56,12 +53,12 @@
     private final SuspectSharing sharing;
     private final RolloutEngine rollouts;
     private final StopSequence stop;
+    private final KnownInstances instances;
 
     /** Null if the deployment has no quotas. */
     private final Quotas quotas;
 
     private volatile ConfigSet inForce = ConfigSet.EMPTY;
-    private volatile InstanceShare share;
 
     /**
      * Creates an instance without configuration.
@@ -106,6 +103,7 @@
                         ? null
                         : new Quotas(settings.instance(), region, quotaSettings, seed + 5);
         calls.quotaGate().setQuotas(quotas);
+        this.instances = new KnownInstances(discovery, calls, sharing, rollouts, quotas);
     }
 
     @Override
@@ -199,20 +197,6 @@
         return quotas == null ? QuotaCounters.NONE : quotas.counters(nowNanos);
     }
 
-    /**
-     * Counts another instance that has told of itself in the limits that all instances share.
-     *
-     * @param other the other instance
-     * @param nowNanos the current time
-     * @param outbox receives the actions to execute
-     * @return false if it cannot be counted
-     */
-    public boolean instanceAnnounced(DiscoveryRecord.Instance other, long nowNanos, Outbox outbox) {
-        boolean counted = discovery.instanceAnnounced(other);
-        updateShare(nowNanos, outbox);
-        return counted;
-    }
-
     /**
      * Returns what another instance has to know about suspected requests.
      *
@@ -283,12 +267,12 @@
     }
 
     /**
-     * Returns the part of this instance in the limits that all instances share.
+     * Returns what is known of the other instances.
      *
-     * @return the part
+     * @return the other instances and the part of this one in shared limits
      */
-    public InstanceShare share() {
-        return discovery.share();
+    public KnownInstances knownInstances() {
+        return instances;
     }
 
     /**
@@ -351,12 +335,12 @@
                     rollouts.responded(e, nowNanos, outbox);
                 } else {
                     discovery.handle(e, nowNanos, outbox);
-                    updateShare(nowNanos, outbox);
+                    instances.update(nowNanos, outbox);
                 }
             }
             case Event.AnnouncementEnded e -> {
                 discovery.handle(e, nowNanos, outbox);
-                updateShare(nowNanos, outbox);
+                instances.update(nowNanos, outbox);
             }
             case Event.RolloutReportEnded e ->
                     rollouts.reportEnded(e.sent(), e.answer(), nowNanos, outbox);
@@ -364,9 +348,7 @@
                     rollouts.timerFired(nowNanos, outbox);
             case Event.TimerFired e when e.timer().owner() == EngineName.CONTROL -> {
                 discovery.handle(e, nowNanos, outbox);
-                if (!discovery.share().equals(share)) {
-                    updateShare(nowNanos, outbox);
-                }
+                instances.updateIfShareChanged(nowNanos, outbox);
             }
             case Event.TimerFired e when e.timer().owner() == EngineName.INSTANCE -> {
                 boolean wasFinishing = stop.isFinishing();
@@ -401,27 +383,6 @@
         return proof.version() <= version ? proof.atNanos() : ProofSource.NONE;
     }
 
-    private synchronized void updateShare(long nowNanos, Outbox outbox) {
-        InstanceShare next = discovery.share();
-        if (!next.equals(share)) {
-            InstanceShare before = share;
-            share = next;
-            calls.setInstanceShare(next);
-            if (before != null
-                    && (next.instances() != before.instances()
-                            || next.counted() != before.counted())) {
-                outbox.add(new Action.InstanceShareChanged(next.instances(), next.counted()));
-            }
-        }
-        List<SuspectPeer> others = discovery.otherInstances();
-        sharing.setPeers(others);
-        if (quotas != null) {
-            quotas.setMembers(next, others, discovery.quotaStanding(), nowNanos, outbox);
-        }
-        calls.setPeers(others);
-        rollouts.setPeers(others);
-    }
-
     private synchronized void adopt(Action.ConfigAdopted adopted, long nowNanos, Outbox outbox) {
         ConfigSet config = adopted.config();
         if (config.generation().isNewerThan(inForce.generation())) {
--- a/core/src/test/java/org/snipeslip/core/discovery/JoiningInstanceTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/JoiningInstanceTest.java
@@ -95,7 +95,7 @@
     }
 
     private int announcements() {
-        return instances.stream().mapToInt(SimulatedFollower::announcements).sum();
+        return instances.stream().mapToInt(each -> each.announcements).sum();
     }
 
     @Test
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
@@ -1,7 +1,6 @@
 package org.snipeslip.core.discovery;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +26,9 @@
     private static final double STORE_LINK_MILLIS = 12;
     private static final double PEER_TIMEOUT_MILLIS = 300;
 
+    /** Number of announcements that the instance has sent. */
+    int announcements;
+
     private final String name;
     private final VirtualTime time;
     private final SimulatedStore store;
@@ -34,12 +36,8 @@
     private final boolean followsPeers;
     private final List<Poll> polls = new ArrayList<>();
     private final List<Runnable> heldWhileFrozen = new ArrayList<>();
-    private final Set<String> removedServers = new HashSet<>();
-    private final Set<String> living;
-    private final List<String> violations;
+    private final AdoptedConfigs adopted;
     private DiscoveryEngine engine;
-    private Set<String> servers = Set.of();
-    private long version = -1;
     private int incarnation;
     private boolean alive;
     private boolean frozen;
@@ -48,7 +46,6 @@
     private boolean turnedAway;
     private boolean powered = true;
     private long maxProofAgeMillis;
-    private int announcements;
 
     /** What the steady clock of the machine has not counted. */
     private long clockLagNanos;
@@ -68,8 +65,7 @@
         this.store = store;
         this.byAddress = byAddress;
         this.followsPeers = followsPeers;
-        this.living = living;
-        this.violations = violations;
+        this.adopted = new AdoptedConfigs(name, time, store, living, violations);
         byAddress.put(address(), this);
     }
 
@@ -78,11 +74,11 @@
     }
 
     Set<String> servers() {
-        return servers;
+        return adopted.servers();
     }
 
     long version() {
-        return version;
+        return adopted.version();
     }
 
     /** Lets the instance keep a proof of its configuration; before its start. */
@@ -140,9 +136,7 @@
         frozen = false;
         heldWhileFrozen.clear();
         incarnation++;
-        servers = Set.of();
-        version = -1;
-        removedServers.clear();
+        adopted.processStarted();
         disturbedUntilNanos = time.nowNanos();
         engine =
                 new DiscoveryEngine(
@@ -254,8 +248,8 @@
                     after(
                             timer.delayNanos() / 1e6,
                             () -> handle(new Event.TimerFired(timer.timer())));
-            case Action.ConfigAdopted adopted -> {
-                adopt(adopted);
+            case Action.ConfigAdopted config -> {
+                adopted.adopt(config, engine.config().version(), dropsForLackOfNews());
                 List.copyOf(polls).forEach(poll -> poll.tryAnswer(false));
             }
             case Action.StoreRestored restored -> {
@@ -266,33 +260,6 @@
         }
     }
 
-    private void adopt(Action.ConfigAdopted adopted) {
-        Set<String> now = FollowingCheck.serversOf(adopted);
-        for (String server : servers) {
-            boolean removed = !now.contains(server) && !living.contains(server);
-            if (removed && !dropsForLackOfNews()) {
-                removedServers.add(server);
-            }
-        }
-        // That an entry was written again, and then removed, may not have been heard of.
-        now.stream()
-                .filter(removedServers::contains)
-                .filter(server -> !store.hasRewritten(server))
-                .forEach(
-                        server ->
-                                violations.add(
-                                        name
-                                                + " uses removed server "
-                                                + server
-                                                + " at "
-                                                + time.nowNanos() / 1e9));
-        if (engine.config().version() < version) {
-            violations.add(name + " went back to version " + engine.config().version());
-        }
-        version = engine.config().version();
-        servers = now;
-    }
-
     /**
      * Returns whether a server may have been dropped only because a restored store lacked it, by an
      * instance that was not able to hear whether it registered again.
@@ -339,11 +306,6 @@
         }
     }
 
-    /** Returns how many announcements the instance has sent. */
-    int announcements() {
-        return announcements;
-    }
-
     private void announce(Action.AnnounceInstance announcement) {
         announcements++;
         int sender = incarnation;
--- a/server/src/main/java/org/snipeslip/server/runtime/AnnouncementLink.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/AnnouncementLink.java
@@ -8,12 +8,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.snipeslip.core.discovery.DiscoveryRecord;
 import org.snipeslip.core.id.InstanceId;
 import org.snipeslip.core.instance.Action;
+import org.snipeslip.core.instance.KnownInstances;
+import org.snipeslip.core.instance.Outbox;
 
 /**
  * Tells other instances that this one has started, and hears the same of them: {@code POST
@@ -40,16 +41,19 @@
         private static final int FIELDS = 3;
 
         private final InstanceClient client;
-        private final Predicate<DiscoveryRecord.Instance> received;
+        private final KnownInstances instances;
+        private final StateMachineDriver driver;
 
         /**
          * Creates a link.
          *
-         * @param received counts an instance; returns false if it cannot be counted
+         * @param instances counts the instances that announce themselves
+         * @param driver executes the actions that follow from them
          */
-        Http(InstanceClient client, Predicate<DiscoveryRecord.Instance> received) {
+        Http(InstanceClient client, KnownInstances instances, StateMachineDriver driver) {
             this.client = client;
-            this.received = received;
+            this.instances = instances;
+            this.driver = driver;
         }
 
         @Override
@@ -73,14 +77,21 @@
             if (announced.isEmpty()) {
                 LOG.warn("malformed announcement from {}", exchange.getSourceAddress());
                 exchange.setStatusCode(StatusCodes.BAD_REQUEST);
-            } else if (!received.test(announced.get())) {
+            } else if (!count(announced.get())) {
                 LOG.warn("too many instances; {} is not counted", announced.get().instance());
                 exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
             }
             exchange.endExchange();
         }
 
-        static String encode(DiscoveryRecord.Instance instance) {
+        private boolean count(DiscoveryRecord.Instance announced) {
+            Outbox outbox = new Outbox();
+            boolean counted = instances.announced(announced, System.nanoTime(), outbox);
+            driver.execute(outbox.actions());
+            return counted;
+        }
+
+        private static String encode(DiscoveryRecord.Instance instance) {
             return String.join(
                     "&",
                     escape(instance.instance().value()),
@@ -89,7 +100,7 @@
         }
 
         /** Returns the announced instance, or nothing if the text is malformed. */
-        static Optional<DiscoveryRecord.Instance> decode(String text) {
+        private static Optional<DiscoveryRecord.Instance> decode(String text) {
             String[] fields = text.split("&", -1);
             if (fields.length != FIELDS) {
                 return Optional.empty();
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryGauges.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryGauges.java
@@ -2,6 +2,7 @@
 
 import org.snipeslip.core.discovery.DiscoveredConfig;
 import org.snipeslip.core.instance.DiscoveryInstance;
+import org.snipeslip.core.instance.KnownInstances;
 import org.snipeslip.server.operator.InstanceMetrics;
 
 /** Gauges of what an instance with discovery knows of the store and of other instances. */
@@ -13,8 +14,9 @@
             QuotaGauges.register(instance, metrics);
         }
         metrics.registerGauge("other_instances", instance::otherInstanceCount);
-        metrics.registerGauge("limits_shared_by_instances", () -> instance.share().instances());
-        metrics.registerGauge("has_part_in_limits", () -> instance.share().counted() ? 1 : 0);
+        KnownInstances known = instance.knownInstances();
+        metrics.registerGauge("limits_shared_by_instances", () -> known.share().instances());
+        metrics.registerGauge("has_part_in_limits", () -> known.share().counted() ? 1 : 0);
         metrics.registerGauge(
                 "config_proof_age_millis", () -> instance.proofAgeMillis(System.nanoTime()));
         metrics.registerGauge("suspected_requests", instance::suspectCount);
--- a/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
+++ b/server/src/main/java/org/snipeslip/server/runtime/DiscoveryProcess.java
@@ -19,13 +19,11 @@
 import org.snipeslip.core.discovery.CallerLimits;
 import org.snipeslip.core.discovery.DiscoveredConfig;
 import org.snipeslip.core.discovery.DiscoveryKind;
-import org.snipeslip.core.discovery.DiscoveryRecord;
 import org.snipeslip.core.discovery.DiscoveryResponse;
 import org.snipeslip.core.discovery.StoreRevision;
 import org.snipeslip.core.instance.Action;
 import org.snipeslip.core.instance.DiscoveryInstance;
 import org.snipeslip.core.instance.Event;
-import org.snipeslip.core.instance.Outbox;
 import org.snipeslip.core.instance.PeerAnswer;
 import org.snipeslip.server.http.CallHandler;
 import org.snipeslip.server.http.CallLimits;
@@ -75,11 +73,7 @@
     /** Null if the settings open no port for other instances. */
     private final PeerFeed peerFeed;
 
-    private final SuspectLink.Http suspectLink;
-    private final RolloutLink.Http rolloutLink;
-    private final DetourLink.Http detourLink;
-    private final QuotaLink.Http quotaLink;
-    private final AnnouncementLink.Http announcementLink;
+    private final InstanceLinks instanceLinks;
     private final HttpHandler passedCallHandler;
     private final Undertow peerServer;
 
@@ -139,21 +133,8 @@
                         },
                         this::stopAccepting,
                         this::finishStop);
-        InstanceClient instanceClient = new InstanceClient(client);
-        suspectLink =
-                new SuspectLink.Http(
-                        instanceClient,
-                        message -> driver.handle(new Event.SuspectMessageReceived(message)),
-                        instance::suspicionsFor,
-                        digest -> instance.verdictOn(digest, System.nanoTime()));
-        driver.setSuspectLink(suspectLink);
-        rolloutLink = linkRollouts(instanceClient);
-        detourLink = new DetourLink.Http(instanceClient, this::acceptsPassedCalls);
-        driver.setDetourLink(detourLink);
-        quotaLink = new QuotaLink.Http(instanceClient, instance, driver);
-        driver.setQuotaLink(quotaLink);
-        announcementLink = new AnnouncementLink.Http(instanceClient, this::countInstance);
-        driver.setAnnouncementLink(announcementLink);
+        instanceLinks =
+                new InstanceLinks(client, instance, driver, this::acceptsPassedCalls, peerFeed);
         passedCallHandler =
                 proxy.createInstanceHandler(
                         driver,
@@ -232,14 +213,6 @@
         decisionLog.close();
     }
 
-    private RolloutLink.Http linkRollouts(InstanceClient client) {
-        RolloutLink.Http link =
-                new RolloutLink.Http(
-                        client, report -> instance.rolloutReported(report, System.nanoTime()));
-        driver.setRolloutLink(link);
-        return link;
-    }
-
     private List<Action> eventHandled(Event event, List<Action> actions) {
         if (peerFeed != null && actions.stream().anyMatch(Action.ConfigAdopted.class::isInstance)) {
             peerFeed.configAdopted();
@@ -255,13 +228,6 @@
         proxy.scheduleClockCheck(CLOCK_CHECK_PERIOD_MILLIS, driver);
     }
 
-    private boolean countInstance(DiscoveryRecord.Instance announced) {
-        Outbox outbox = new Outbox();
-        boolean counted = instance.instanceAnnounced(announced, System.nanoTime(), outbox);
-        driver.execute(outbox.actions());
-        return counted;
-    }
-
     private DiscoveryResponse answerPeer(
             Map<DiscoveryKind, StoreRevision> revisions, boolean indirect) {
         driver.checkClocks();
@@ -303,18 +269,8 @@
 
     /** Handles a request of another instance. */
     private void handleInstance(HttpServerExchange exchange) throws Exception {
-        if (exchange.getRequestHeaders().contains(CallHandler.HANDOVER)) {
-            passedCallHandler.handleRequest(exchange);
-            return;
-        }
-        switch (exchange.getRequestPath()) {
-            case SuspectLink.PATH -> suspectLink.handleRequest(exchange);
-            case RolloutLink.PATH -> rolloutLink.handleRequest(exchange);
-            case DetourLink.PATH -> detourLink.handleRequest(exchange);
-            case QuotaLink.PATH -> quotaLink.handleRequest(exchange);
-            case AnnouncementLink.PATH -> announcementLink.handleRequest(exchange);
-            default -> peerFeed.handleRequest(exchange);
-        }
+        boolean passed = exchange.getRequestHeaders().contains(CallHandler.HANDOVER);
+        (passed ? passedCallHandler : instanceLinks).handleRequest(exchange);
     }
 
     private boolean acceptsPassedCalls(long version) {
