--- a/core/src/test/java/org/snipeslip/core/call/ColdReportTest.java
+++ b/core/src/test/java/org/snipeslip/core/call/ColdReportTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -61,13 +62,9 @@
     @ParameterizedTest
     @EnumSource
     void everyResponseOfTheServerMayReportThatItIsCold(Response response) {
-        CallEngine engine =
-                new CallEngine(SETTINGS, new RegionId("a"), new FailureDomainId("a1"), 1);
-        engine.setInstanceShare(InstanceShareTest.shares(1, 1).getFirst());
-        List<BackendServer> servers = List.of(cold(DeploymentFixtures.server(0, 1, false)));
-        Outbox configured = new Outbox();
-        engine.configure(DeploymentFixtures.config(1, servers, Set.of()), 1, configured);
-        BackendServerId server = servers.getFirst().id();
+        BackendServer coldServer = cold(DeploymentFixtures.server(0, 1, false));
+        CallEngine engine = engineOf(coldServer);
+        BackendServerId server = coldServer.id();
         long nowNanos = SECOND_NANOS;
         LoadReport report = response.report();
         List<Action> actions = new ArrayList<>();
@@ -91,12 +88,38 @@
             }
         }
         assertThat(actions).hasAtLeastOneElementOfType(Action.ServerCold.class);
+        boolean byCall = response == Response.ANSWER || response == Response.REFUSAL;
+        assertThat(callsWithin30Millis(engine, server, nowNanos))
+                .isEqualTo(CALLS_PER_SECOND - (byCall ? 1 : 0));
+    }
+
+    /** Guards against a late response that ends a cold period which a newer one has reported. */
+    @Test
+    void shorterTimeDoesNotEndTheColdPeriod() {
+        BackendServer coldServer = cold(DeploymentFixtures.server(0, 1, false));
+        CallEngine engine = engineOf(coldServer);
+        BackendServerId server = coldServer.id();
+        handle(engine, probeAnswered(server, idle().withColdMillis(3_000)), SECOND_NANOS);
+        handle(engine, probeAnswered(server, idle().withColdMillis(1)), SECOND_NANOS);
+        assertThat(callsWithin30Millis(engine, server, SECOND_NANOS + 10 * FakeDeployment.MILLI))
+                .isEqualTo(CALLS_PER_SECOND);
+    }
+
+    private static CallEngine engineOf(BackendServer server) {
+        CallEngine engine =
+                new CallEngine(SETTINGS, new RegionId("a"), new FailureDomainId("a1"), 1);
+        engine.setInstanceShare(InstanceShareTest.shares(1, 1).getFirst());
+        engine.configure(DeploymentFixtures.config(1, List.of(server), Set.of()), 1, new Outbox());
+        return engine;
+    }
+
+    private static int callsWithin30Millis(
+            CallEngine engine, BackendServerId server, long fromNanos) {
         int sent = 0;
         for (int i = 1; i <= 30; i++) {
-            sent += call(engine, server, i, nowNanos + i * FakeDeployment.MILLI) == null ? 0 : 1;
+            sent += call(engine, server, i, fromNanos + i * FakeDeployment.MILLI) == null ? 0 : 1;
         }
-        boolean byCall = response == Response.ANSWER || response == Response.REFUSAL;
-        assertThat(sent).isEqualTo(CALLS_PER_SECOND - (byCall ? 1 : 0));
+        return sent;
     }
 
     private static Action.SendTry call(
--- a/core/src/test/java/org/snipeslip/core/discovery/JoiningInstanceTest.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/JoiningInstanceTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.snipeslip.core.call.InstanceShare;
 import org.snipeslip.core.call.VirtualTime;
+import org.snipeslip.core.id.InstanceId;
 
 /**
  * Guards against instances that use a part of a limit on the sum over all instances before the
@@ -26,6 +27,8 @@
     private static final long MILLI = 1_000_000;
     private static final long SECOND = 1_000 * MILLI;
     private static final int SERVERS = 4;
+    private static final int MAX_OPEN = 4;
+    private static final int MAX_ANNOUNCED = 2_048;
     private static final int CALLS = 11;
     private static final double RETRIES = 40;
     private static final double ROUNDING = 1e-9;
@@ -35,7 +38,9 @@
     private final SimulatedStore store = new SimulatedStore(time);
     private final Map<String, SimulatedFollower> byAddress = new HashMap<>();
     private final List<SimulatedFollower> instances = new ArrayList<>();
-    private final Map<SimulatedFollower, Deque<Parts>> lastSecond = new HashMap<>();
+
+    /** The parts of each process, also of those that are gone: their calls count for a second. */
+    private final Map<DiscoveryEngine, Deque<Parts>> lastSecond = new HashMap<>();
 
     /** The case of the review: three instances join four, before these read the list again. */
     @ParameterizedTest
@@ -47,6 +52,7 @@
         play(5 * SECOND);
         assertThat(parts(0)).as("all are counted soon").isEqualTo(CALLS);
         play(40 * SECOND);
+        assertThat(instances).allMatch(each -> each.announcements().mostOpen() <= MAX_OPEN);
     }
 
     @ParameterizedTest
@@ -66,6 +72,57 @@
         assertThat(instances.getLast().share().counted()).isTrue();
     }
 
+    /** Guards against an instance that takes its own entry for one of an earlier process. */
+    @Test
+    void joiningInstanceWithoutFirstListWaitsForOthers() {
+        startTogether(4);
+        play(10 * SECOND);
+        instances.getFirst().cutFromPeers(20_000);
+        store.setDown(true);
+        startTogether(1);
+        play(SECOND / 2);
+        store.setDown(false);
+        play(15 * SECOND);
+        assertThat(instances.getLast().share().counted()).isFalse();
+        play(20 * SECOND);
+        assertThat(instances.getLast().share().counted()).isTrue();
+    }
+
+    /** Guards against calls of a process that are sent again by the one that replaces it. */
+    @ParameterizedTest
+    @ValueSource(ints = {50, 500, 950})
+    void restartedInstanceLeavesRoomForTheCallsOfTheEarlierProcess(int millisAway) {
+        startTogether(4);
+        play(10 * SECOND);
+        for (SimulatedFollower instance : List.copyOf(instances)) {
+            instance.kill();
+            instance.start(millisAway);
+            play(3 * SECOND);
+            assertThat(instance.share().counted()).isTrue();
+        }
+    }
+
+    /** Guards against a table that grows with each name that is announced. */
+    @Test
+    void announcedInstancesAreBounded() {
+        startTogether(1);
+        play(10 * SECOND);
+        for (int i = 0; i < MAX_ANNOUNCED; i++) {
+            assertThat(announce("other-" + i)).isTrue();
+        }
+        assertThat(announce("one-more")).isFalse();
+        assertThat(announce("other-0")).as("known already").isTrue();
+        assertThat(instances.getFirst().share().instances()).isEqualTo(MAX_ANNOUNCED + 1);
+    }
+
+    private boolean announce(String name) {
+        return instances
+                .getFirst()
+                .process()
+                .instanceAnnounced(
+                        new DiscoveryRecord.Instance(new InstanceId(name), "ra", name + ":1"));
+    }
+
     /** Guards against instances that are gone and hold up the announcements to others. */
     @Test
     void livingInstancesAreToldBesideManyThatAreGone() {
@@ -95,7 +152,7 @@
     }
 
     private int announcements() {
-        return instances.stream().mapToInt(each -> each.announcements).sum();
+        return instances.stream().mapToInt(each -> each.announcements().sent()).sum();
     }
 
     @Test
@@ -166,13 +223,17 @@
         while (time.nowNanos() < end) {
             time.runFor(10 * MILLI);
             for (SimulatedFollower instance : instances) {
-                Deque<Parts> recent =
-                        lastSecond.computeIfAbsent(instance, each -> new ArrayDeque<>());
-                recent.add(Parts.of(instance.share(), recent.peekLast(), time.nowNanos()));
-                while (time.nowNanos() - recent.peek().atNanos > SECOND) {
-                    recent.remove();
+                DiscoveryEngine process = instance.process();
+                if (process != null) {
+                    Deque<Parts> recent =
+                            lastSecond.computeIfAbsent(process, each -> new ArrayDeque<>());
+                    recent.add(Parts.of(process.share(), recent.peekLast(), time.nowNanos()));
                 }
             }
+            for (Deque<Parts> recent : lastSecond.values()) {
+                recent.removeIf(each -> time.nowNanos() - each.atNanos > SECOND);
+            }
+            lastSecond.values().removeIf(Deque::isEmpty);
             assertThat(retries()).as("retries").isLessThanOrEqualTo(RETRIES + ROUNDING);
             for (int server = 0; server < SERVERS; server++) {
                 assertThat(most(server))
--- a/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
+++ b/core/src/test/java/org/snipeslip/core/discovery/SimulatedFollower.java
@@ -24,10 +24,6 @@
 
     private static final double LINK_MILLIS = 1;
     private static final double STORE_LINK_MILLIS = 12;
-    private static final double PEER_TIMEOUT_MILLIS = 300;
-
-    /** Number of announcements that the instance has sent. */
-    int announcements;
 
     private final String name;
     private final VirtualTime time;
@@ -37,6 +33,7 @@
     private final List<Poll> polls = new ArrayList<>();
     private final List<Runnable> heldWhileFrozen = new ArrayList<>();
     private final AdoptedConfigs adopted;
+    private final SimulatedAnnouncements announcements = new SimulatedAnnouncements(this);
     private DiscoveryEngine engine;
     private int incarnation;
     private boolean alive;
@@ -106,6 +103,20 @@
         return alive ? engine.share() : null;
     }
 
+    SimulatedAnnouncements announcements() {
+        return announcements;
+    }
+
+    /** Returns whether neither this instance nor the other one is cut off from its peers. */
+    boolean reaches(SimulatedFollower peer) {
+        return !peersCut && !peer.peersCut;
+    }
+
+    /** Returns the engine of the running process, or null if it is gone. */
+    DiscoveryEngine process() {
+        return alive ? engine : null;
+    }
+
     boolean followsPeer() {
         return alive && engine.followsPeer();
     }
@@ -136,6 +147,7 @@
         frozen = false;
         heldWhileFrozen.clear();
         incarnation++;
+        announcements.processStarted();
         adopted.processStarted();
         disturbedUntilNanos = time.nowNanos();
         engine =
@@ -220,7 +232,7 @@
         return name + ":1";
     }
 
-    private void handle(Event event) {
+    void handle(Event event) {
         int handled = incarnation;
         runUnlessFrozen(
                 () -> {
@@ -233,7 +245,7 @@
                 });
     }
 
-    private void runUnlessFrozen(Runnable action) {
+    void runUnlessFrozen(Runnable action) {
         if (frozen) {
             heldWhileFrozen.add(action);
         } else {
@@ -255,7 +267,8 @@
             case Action.StoreRestored restored -> {
                 // Only logged.
             }
-            case Action.AnnounceInstance announcement -> announce(announcement);
+            case Action.AnnounceInstance announcement ->
+                    announcements.send(announcement, byAddress.get(announcement.address()));
             default -> throw new IllegalStateException("unexpected action " + action);
         }
     }
@@ -284,7 +297,7 @@
                 () -> consumer.accept(new DiscoveryResponse.Failed(false, "timeout")));
         if (request instanceof DiscoveryRequest.PeerPoll poll) {
             SimulatedFollower peer = byAddress.get(poll.address());
-            if (!peersCut && !peer.peersCut) {
+            if (reaches(peer)) {
                 after(LINK_MILLIS, () -> peer.receive(poll, deliverUnlessCut(peer, consumer)));
             }
         } else if (turnedAway) {
@@ -306,41 +319,13 @@
         }
     }
 
-    private void announce(Action.AnnounceInstance announcement) {
-        announcements++;
-        int sender = incarnation;
-        boolean[] done = new boolean[1];
-        Consumer<Boolean> ended =
-                delivered -> {
-                    if (!done[0] && incarnation == sender) {
-                        done[0] = true;
-                        handle(new Event.AnnouncementEnded(announcement, delivered));
-                    }
-                };
-        after(PEER_TIMEOUT_MILLIS, () -> ended.accept(false));
-        SimulatedFollower peer = byAddress.get(announcement.address());
-        if (!peersCut && !peer.peersCut) {
-            after(
-                    LINK_MILLIS,
-                    () -> {
-                        if (peer.alive) {
-                            peer.runUnlessFrozen(
-                                    () -> {
-                                        peer.engine.instanceAnnounced(announcement.announced());
-                                        after(LINK_MILLIS, () -> ended.accept(true));
-                                    });
-                        }
-                    });
-        }
-    }
-
     private Consumer<DiscoveryResponse> deliverUnlessCut(
             SimulatedFollower peer, Consumer<DiscoveryResponse> consumer) {
         return response ->
                 after(
                         LINK_MILLIS,
                         () -> {
-                            if (!peersCut && !peer.peersCut) {
+                            if (reaches(peer)) {
                                 consumer.accept(response);
                             }
                         });
@@ -394,7 +379,7 @@
         }
     }
 
-    private void after(double millis, Runnable work) {
+    void after(double millis, Runnable work) {
         time.schedule((long) (millis * NANOS_PER_MILLI), work);
     }
 }
